Add the design page, the Maven skeleton and the shared interfaces

Cause: the repository was empty; several people are about to work in parallel and need one design and one set of types. Change: docs/design.md, a five-module build with Spotless and Checkstyle, typed identifiers, control commands and results, blackboard parts, service interfaces, and a connection type that tells whether a byte of a request was written.

--- /dev/null
+++ b/sapphire-cli/src/main/java/io/sapphirestack/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line for operators and callers. */
+package io.sapphirestack.cli;
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/error/RefusedException.java
@@ -0,0 +1,34 @@
+package io.sapphirestack.core.error;
+
+/** Signals that work was refused; the {@link Refusal} says whether it was executed. */
+public final class RefusedException extends SapphireException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final transient Refusal refusal;
+
+    /**
+     * Creates an exception from a refusal.
+     *
+     * @param refusal what is reported to the caller
+     */
+    public RefusedException(Refusal refusal) {
+        this(refusal, null);
+    }
+
+    /**
+     * Creates an exception from a refusal and its cause.
+     *
+     * @param refusal what is reported to the caller
+     * @param cause underlying failure, or {@code null}
+     */
+    public RefusedException(Refusal refusal, Throwable cause) {
+        super(refusal.step(), refusal.peer(), refusal.code() + ": " + refusal.detail(), cause);
+        this.refusal = refusal;
+    }
+
+    /** Returns what is reported to the caller. */
+    public Refusal refusal() {
+        return refusal;
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** Root of the checked exceptions and the description of refused work. */
+package io.sapphirestack.core.error;
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/id/EndpointId.java
@@ -0,0 +1,44 @@
+package io.sapphirestack.core.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.regex.Pattern;
+
+/**
+ * Name of an endpoint, chosen by the endpoint itself.
+ *
+ * @param value text form: letters, digits, dot, underscore and hyphen, at most 128 characters
+ */
+public record EndpointId(@JsonValue String value) implements Comparable<EndpointId> {
+
+    private static final Pattern FORMAT = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+
+    /** Checks the format. */
+    public EndpointId {
+        if (value == null || !FORMAT.matcher(value).matches()) {
+            throw new IllegalArgumentException("not a valid EndpointId: " + value);
+        }
+    }
+
+    /**
+     * Creates an identifier from its text form.
+     *
+     * @param value text form
+     * @return the identifier
+     * @throws IllegalArgumentException if the text has the wrong format
+     */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static EndpointId of(String value) {
+        return new EndpointId(value);
+    }
+
+    @Override
+    public int compareTo(EndpointId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/id/InstanceId.java
@@ -0,0 +1,44 @@
+package io.sapphirestack.core.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.regex.Pattern;
+
+/**
+ * Name of an instance, fixed in its settings.
+ *
+ * @param value text form: letters, digits, dot, underscore and hyphen, at most 128 characters
+ */
+public record InstanceId(@JsonValue String value) implements Comparable<InstanceId> {
+
+    private static final Pattern FORMAT = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+
+    /** Checks the format. */
+    public InstanceId {
+        if (value == null || !FORMAT.matcher(value).matches()) {
+            throw new IllegalArgumentException("not a valid InstanceId: " + value);
+        }
+    }
+
+    /**
+     * Creates an identifier from its text form.
+     *
+     * @param value text form
+     * @return the identifier
+     * @throws IllegalArgumentException if the text has the wrong format
+     */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static InstanceId of(String value) {
+        return new InstanceId(value);
+    }
+
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Typed identifiers. */
+package io.sapphirestack.core.id;
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Announcements of endpoints and their dissemination among instances. */
+package io.sapphirestack.core.membership;
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/record/ModelPin.java
@@ -0,0 +1,25 @@
+package io.sapphirestack.core.record;
+
+import java.util.Objects;
+
+/**
+ * Exact model variant; pinned for the whole life of a generation.
+ *
+ * @param model base model
+ * @param adapter adapter on top of the model, empty for none
+ * @param version version of model and adapter
+ */
+public record ModelPin(String model, String adapter, String version) {
+
+    /** Checks the components. */
+    public ModelPin {
+        Objects.requireNonNull(model, "model");
+        Objects.requireNonNull(adapter, "adapter");
+        Objects.requireNonNull(version, "version");
+    }
+
+    @Override
+    public String toString() {
+        return model + (adapter.isEmpty() ? "" : "+" + adapter) + "@" + version;
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/record/OperatorSpec.java
@@ -0,0 +1,17 @@
+package io.sapphirestack.core.record;
+
+import java.util.Objects;
+
+/**
+ * Content of an {@code operator} record.
+ *
+ * @param keyHash salted hash of the bearer key
+ * @param admin whether the operator may change records; otherwise read only
+ */
+public record OperatorSpec(String keyHash, boolean admin) {
+
+    /** Checks the components. */
+    public OperatorSpec {
+        Objects.requireNonNull(keyHash, "keyHash");
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointState.java
@@ -0,0 +1,39 @@
+package io.sapphirestack.core.routing;
+
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.membership.EndpointLoad;
+import io.sapphirestack.core.record.ModelPin;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * What an instance knows about an endpoint.
+ *
+ * @param id name of the endpoint
+ * @param service service that it belongs to
+ * @param address {@code host:port} of its HTTP interface
+ * @param availabilityZone availability zone
+ * @param epochMs start time of the endpoint's process, to tell a restart
+ * @param models variants that are loaded
+ * @param load load of the last report
+ * @param heardAtMs when the last announcement was made, on this instance's monotonic clock
+ */
+public record EndpointState(
+        EndpointId id,
+        String service,
+        String address,
+        String availabilityZone,
+        long epochMs,
+        Set<ModelPin> models,
+        EndpointLoad load,
+        long heardAtMs) {
+
+    /** Checks the components. */
+    public EndpointState {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(address, "address");
+        models = Set.copyOf(models);
+        Objects.requireNonNull(load, "load");
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointTable.java
@@ -0,0 +1,57 @@
+package io.sapphirestack.core.routing;
+
+import io.sapphirestack.core.id.EndpointId;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/** Immutable table of the known endpoints, indexed by service. */
+public final class EndpointTable {
+
+    /** Table without endpoints. */
+    public static final EndpointTable EMPTY = new EndpointTable(Map.of());
+
+    private final Map<EndpointId, EndpointState> byId;
+    private final Map<String, List<EndpointState>> byService;
+
+    /**
+     * Creates a table.
+     *
+     * @param byId endpoints by name
+     */
+    public EndpointTable(Map<EndpointId, EndpointState> byId) {
+        this.byId = Map.copyOf(byId);
+        this.byService =
+                this.byId.values().stream()
+                        .sorted((a, b) -> a.id().compareTo(b.id()))
+                        .collect(
+                                Collectors.groupingBy(
+                                        EndpointState::service, Collectors.toUnmodifiableList()));
+    }
+
+    /** Returns all endpoints by name. */
+    public Map<EndpointId, EndpointState> byId() {
+        return byId;
+    }
+
+    /**
+     * Returns an endpoint.
+     *
+     * @param id name of the endpoint
+     * @return its state, or empty if it is not known
+     */
+    public Optional<EndpointState> find(EndpointId id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    /**
+     * Returns the endpoints of a service.
+     *
+     * @param service name of the service
+     * @return endpoints, sorted by name
+     */
+    public List<EndpointState> ofService(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Millisecond clocks. */
+package io.sapphirestack.core.time;
--- /dev/null
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Settings, wiring and main program of the daemon. */
+package io.sapphirestack.daemon;
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/blackboard/package-info.java
@@ -0,0 +1,2 @@
+/** The blackboard of one instance. */
+package io.sapphirestack.runtime.blackboard;
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
@@ -0,0 +1,108 @@
+package io.sapphirestack.runtime.endpoint;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Objects;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * One HTTP/1.1 connection to an endpoint. Connecting is a step of its own, so that a caller knows
+ * whether a byte of a request was written. Not thread-safe, except that {@link #close()} may be
+ * called from any thread to abort.
+ */
+public final class EndpointConnection implements Closeable {
+
+    private final String address;
+    private final DefaultBHttpClientConnection connection;
+    private final HttpRequestExecutor executor = new HttpRequestExecutor();
+
+    private EndpointConnection(String address, DefaultBHttpClientConnection connection) {
+        this.address = address;
+        this.connection = connection;
+    }
+
+    /**
+     * Connects to an endpoint.
+     *
+     * @param address {@code host:port}
+     * @param connectTimeoutMs timeout of the connect in milliseconds, positive
+     * @param readTimeoutMs longest silence while receiving, in milliseconds, positive
+     * @return an open connection
+     * @throws EndpointException if the connection could not be made; no byte of a request was
+     *     written
+     */
+    public static EndpointConnection open(String address, long connectTimeoutMs, long readTimeoutMs)
+            throws EndpointException {
+        Objects.requireNonNull(address, "address");
+        Socket socket = new Socket();
+        try {
+            int colon = address.lastIndexOf(':');
+            InetSocketAddress target =
+                    new InetSocketAddress(
+                            address.substring(0, colon),
+                            Integer.parseInt(address.substring(colon + 1)));
+            socket.setTcpNoDelay(true);
+            socket.connect(target, Math.toIntExact(connectTimeoutMs));
+            DefaultBHttpClientConnection connection =
+                    new DefaultBHttpClientConnection(Http1Config.DEFAULT);
+            connection.bind(socket);
+            connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMs));
+            return new EndpointConnection(address, connection);
+        } catch (IOException | RuntimeException e) {
+            closeQuietly(socket);
+            throw new EndpointException(
+                    "connect",
+                    address,
+                    "cannot connect",
+                    false,
+                    e instanceof SocketTimeoutException,
+                    e);
+        }
+    }
+
+    /**
+     * Sends a request and receives the head of the response; the caller consumes the entity.
+     *
+     * @param request request with relative path; {@code Host} is set here
+     * @return response whose entity streams from the connection
+     * @throws EndpointException if the exchange failed; the request may have been executed
+     */
+    public ClassicHttpResponse exchange(ClassicHttpRequest request) throws EndpointException {
+        request.setHeader("Host", address);
+        try {
+            return executor.execute(request, connection, HttpCoreContext.create());
+        } catch (SocketTimeoutException e) {
+            throw new EndpointException("receive", address, "no response in time", true, true, e);
+        } catch (IOException | HttpException | RuntimeException e) {
+            throw new EndpointException("exchange", address, "exchange failed", true, false, e);
+        }
+    }
+
+    /** Returns the address of the endpoint. */
+    public String address() {
+        return address;
+    }
+
+    @Override
+    public void close() {
+        connection.close(org.apache.hc.core5.io.CloseMode.IMMEDIATE);
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // The socket never carried data, so there is nothing left to lose.
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Announcements of endpoints, connections to them, and orders to engines. */
+package io.sapphirestack.runtime.endpoint;
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/GenerationRequest.java
@@ -0,0 +1,35 @@
+package io.sapphirestack.runtime.generation;
+
+import io.sapphirestack.core.id.AccountId;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Request for a generation, already authenticated.
+ *
+ * @param account client account
+ * @param model name of a {@code model} record
+ * @param prompt prompt text
+ * @param maxTokens most tokens to generate, positive
+ * @param seed sampling seed
+ * @param idempotencyKey key under which a repeated request attaches to the same generation, if any
+ */
+public record GenerationRequest(
+        AccountId account,
+        String model,
+        String prompt,
+        int maxTokens,
+        long seed,
+        Optional<String> idempotencyKey) {
+
+    /** Checks the components. */
+    public GenerationRequest {
+        Objects.requireNonNull(account, "account");
+        Objects.requireNonNull(model, "model");
+        Objects.requireNonNull(prompt, "prompt");
+        Objects.requireNonNull(idempotencyKey, "idempotencyKey");
+        if (maxTokens <= 0) {
+            throw new IllegalArgumentException("maxTokens must be positive but is " + maxTokens);
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/TokenBatch.java
@@ -0,0 +1,27 @@
+package io.sapphirestack.runtime.generation;
+
+import java.util.List;
+
+/**
+ * Committed tokens of a generation.
+ *
+ * @param fromOffset offset of the first token
+ * @param tokens token texts in order; empty if none came in time
+ * @param phase stage of the generation; the batch is the last one if it is not running and {@code
+ *     complete} is set
+ * @param complete whether no token follows after this batch
+ * @param finishReason why the output ended, such as {@code stop} or {@code length}; empty while
+ *     running
+ */
+public record TokenBatch(
+        long fromOffset,
+        List<String> tokens,
+        GenerationPhase phase,
+        boolean complete,
+        String finishReason) {
+
+    /** Copies the list. */
+    public TokenBatch {
+        tokens = List.copyOf(tokens);
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/package-info.java
@@ -0,0 +1,2 @@
+/** Generations: acceptance, replication to peers, attempts on engines, continuation. */
+package io.sapphirestack.runtime.generation;
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/package-info.java
@@ -0,0 +1,2 @@
+/** Orders and reads at plain services. */
+package io.sapphirestack.runtime.order;
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/TransportException.java
@@ -0,0 +1,31 @@
+package io.sapphirestack.runtime.transport;
+
+import io.sapphirestack.runtime.error.ServiceException;
+
+/** Failure of a call to another instance. */
+public final class TransportException extends ServiceException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final boolean sent;
+
+    /**
+     * Creates an exception.
+     *
+     * @param step operation that failed, such as {@code connect} or {@code await-reply}
+     * @param peer address of the peer
+     * @param message what went wrong
+     * @param sent whether the request may have reached the peer
+     * @param cause underlying failure, or {@code null}
+     */
+    public TransportException(
+            String step, String peer, String message, boolean sent, Throwable cause) {
+        super(step, peer, message, cause);
+        this.sent = sent;
+    }
+
+    /** Returns whether the request may have reached the peer. */
+    public boolean sent() {
+        return sent;
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between the processes of the system: TCP frames with MessagePack. */
+package io.sapphirestack.runtime.transport;
