--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlCommand.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlCommand.java
@@ -18,6 +18,7 @@
 @JsonSubTypes({
     @JsonSubTypes.Type(value = ControlCommand.PutRecord.class, name = "putRecord"),
     @JsonSubTypes.Type(value = ControlCommand.DeleteRecord.class, name = "deleteRecord"),
+    @JsonSubTypes.Type(value = ControlCommand.ReadHistory.class, name = "readHistory"),
     @JsonSubTypes.Type(value = ControlCommand.JoinInstance.class, name = "join"),
     @JsonSubTypes.Type(value = ControlCommand.EvictInstances.class, name = "evict"),
     @JsonSubTypes.Type(value = ControlCommand.ReserveOrder.class, name = "reserveOrder"),
@@ -70,6 +71,13 @@
             String changeId, String operator, RecordKey key, long expectedRevision, boolean dryRun)
             implements ControlCommand {}
 
+    /**
+     * Reads the last versions of a record in log order.
+     *
+     * @param key identity of the record
+     */
+    record ReadHistory(RecordKey key) implements ControlCommand {}
+
     /**
      * Makes an instance live; replaces an earlier incarnation, which counts as evicted just before.
      *
--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlResult.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlResult.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.record.ConfigRecord;
+import java.util.List;
 
 /** Answer of the replicated state machine to a command. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
@@ -10,6 +12,7 @@
     @JsonSubTypes.Type(value = ControlResult.RecordAccepted.class, name = "recordAccepted"),
     @JsonSubTypes.Type(value = ControlResult.RecordConflict.class, name = "recordConflict"),
     @JsonSubTypes.Type(value = ControlResult.RecordRefused.class, name = "recordRefused"),
+    @JsonSubTypes.Type(value = ControlResult.RecordHistory.class, name = "recordHistory"),
     @JsonSubTypes.Type(value = ControlResult.Joined.class, name = "joined"),
     @JsonSubTypes.Type(value = ControlResult.Applied.class, name = "applied"),
     @JsonSubTypes.Type(value = ControlResult.OrderGranted.class, name = "orderGranted"),
@@ -54,6 +57,13 @@
      */
     record RecordRefused(String code, String detail) implements ControlResult {}
 
+    /**
+     * Last versions of a record.
+     *
+     * @param versions versions, newest first; a deletion has a null JSON body
+     */
+    record RecordHistory(List<ConfigRecord> versions) implements ControlResult {}
+
     /**
      * The instance is live.
      *
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/trust/KeyHash.java
@@ -0,0 +1,61 @@
+package io.sapphirestack.core.trust;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Salted hash of a bearer key; its text form is {@code sha256$SALT$DIGEST} in hexadecimal digits.
+ */
+public final class KeyHash {
+
+    private static final String ALGORITHM = "sha256";
+
+    private KeyHash() {}
+
+    /**
+     * Hashes a key.
+     *
+     * @param key bearer key
+     * @param salt random bytes
+     * @return text form of the hash
+     */
+    public static String create(String key, byte[] salt) {
+        return ALGORITHM
+                + "$"
+                + HexFormat.of().formatHex(salt)
+                + "$"
+                + HexFormat.of().formatHex(digest(key, salt));
+    }
+
+    /**
+     * Compares a key with a hash in constant time.
+     *
+     * @param hash text form of the hash
+     * @param key bearer key
+     * @return whether the key matches; false if the hash has the wrong format
+     */
+    public static boolean matches(String hash, String key) {
+        String[] parts = hash.split("\\$");
+        if (parts.length != 3 || !parts[0].equals(ALGORITHM)) {
+            return false;
+        }
+        try {
+            byte[] salt = HexFormat.of().parseHex(parts[1]);
+            return MessageDigest.isEqual(HexFormat.of().parseHex(parts[2]), digest(key, salt));
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+
+    private static byte[] digest(String key, byte[] salt) {
+        try {
+            MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+            sha256.update(salt);
+            return sha256.digest(key.getBytes(StandardCharsets.UTF_8));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/trust/package-info.java
@@ -0,0 +1,2 @@
+/** Verification of bearer keys. */
+package io.sapphirestack.core.trust;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlClient.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlClient.java
@@ -2,6 +2,7 @@
 
 import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.control.FleetStatus;
 import java.util.concurrent.CompletableFuture;
 
 /** Submits commands to the control log. Thread-safe. */
@@ -17,4 +18,12 @@
      *     ControlException}
      */
     CompletableFuture<ControlResult> submit(ControlCommand command, long timeoutMs);
+
+    /**
+     * Asks the leader for the state of the fleet.
+     *
+     * @param timeoutMs time after which the call fails, in milliseconds
+     * @return last reports of the live instances, or a failure with {@link ControlException}
+     */
+    CompletableFuture<FleetStatus> fleet(long timeoutMs);
 }
