Add the client library and the command line

Cause: operators and callers had no program, and the load command and the demo will need the same address handling and stream continuation. Change: module sapphire-client (address book, failover after refusals that say that nothing ran, streams continued by Last-Event-ID) and module sapphire-cli with records, stops, status, wait, generations, orders and reads; stable exit codes; glossary and library pages. Before the virtual host was set, the test server answered 421 and four client tests failed; ruled out as a client fault. Conclusion: not yet run against a real instance; that follows with the daemon.

--- /dev/null
+++ b/sapphire-cli/src/main/java/io/sapphirestack/cli/Files.java
@@ -0,0 +1,25 @@
+package io.sapphirestack.cli;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+
+/** Reads files that are named as arguments; {@code -} means standard input. */
+final class Files {
+
+    private Files() {}
+
+    static byte[] read(String name) throws CliException {
+        try {
+            return name.equals("-")
+                    ? System.in.readAllBytes()
+                    : java.nio.file.Files.readAllBytes(Path.of(name));
+        } catch (IOException e) {
+            throw new CliException(ExitCode.USAGE, "read-file", "cannot read the file " + name, e);
+        }
+    }
+
+    static String readText(String name) throws CliException {
+        return new String(read(name), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/sapphire-cli/src/main/java/io/sapphirestack/cli/Output.java
@@ -0,0 +1,124 @@
+package io.sapphirestack.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Prints results as JSON or as text; progress goes to standard error. */
+public final class Output {
+
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
+
+    private final PrintStream out;
+    private final PrintStream err;
+    private final boolean json;
+
+    /**
+     * Creates an output.
+     *
+     * @param out standard output
+     * @param err standard error
+     * @param json whether results are printed as JSON
+     */
+    public Output(PrintStream out, PrintStream err, boolean json) {
+        this.out = out;
+        this.err = err;
+        this.json = json;
+    }
+
+    /** Returns whether results are printed as JSON. */
+    public boolean isJson() {
+        return json;
+    }
+
+    /**
+     * Prints a result: as one JSON line, or as {@code field: value} lines.
+     *
+     * @param result JSON object or any value
+     */
+    public void result(JsonNode result) {
+        if (json || !result.isObject()) {
+            out.println(compact(result));
+            return;
+        }
+        result.properties()
+                .forEach(
+                        field ->
+                                out.println(
+                                        field.getKey()
+                                                + ": "
+                                                + (field.getValue().isTextual()
+                                                        ? field.getValue().asText()
+                                                        : compact(field.getValue()))));
+    }
+
+    /**
+     * Prints a list of objects: as one JSON line, or as a table.
+     *
+     * @param rows JSON array of objects
+     * @param columns fields to show in the table
+     */
+    public void table(JsonNode rows, List<String> columns) {
+        if (json) {
+            out.println(compact(rows));
+            return;
+        }
+        List<List<String>> cells = new ArrayList<>();
+        cells.add(
+                columns.stream().map(column -> column.toUpperCase(java.util.Locale.ROOT)).toList());
+        for (JsonNode row : rows) {
+            cells.add(columns.stream().map(column -> text(row.path(column))).toList());
+        }
+        for (List<String> line : cells) {
+            StringBuilder text = new StringBuilder();
+            for (int i = 0; i < columns.size(); i++) {
+                text.append(pad(line.get(i), width(cells, i) + 2));
+            }
+            out.println(text.toString().stripTrailing());
+        }
+    }
+
+    /**
+     * Prints raw text of a result without a line break.
+     *
+     * @param text part of the result
+     */
+    public void raw(String text) {
+        out.print(text);
+        out.flush();
+    }
+
+    /**
+     * Prints progress to standard error.
+     *
+     * @param message what is going on
+     */
+    public void progress(String message) {
+        err.println(message);
+    }
+
+    private static int width(List<List<String>> cells, int column) {
+        return cells.stream().mapToInt(line -> line.get(column).length()).max().orElse(0);
+    }
+
+    private static String pad(String text, int width) {
+        return text + " ".repeat(Math.max(0, width - text.length()));
+    }
+
+    private static String text(JsonNode node) {
+        return node.isTextual() ? node.asText() : node.isMissingNode() ? "-" : compact(node);
+    }
+
+    private static String compact(JsonNode node) {
+        try {
+            return MAPPER.writeValueAsString(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a JSON tree can always be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-cli/src/test/java/io/sapphirestack/cli/SapphireCliTests.java
@@ -0,0 +1,97 @@
+package io.sapphirestack.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.sapphirestack.client.ClientException;
+import io.sapphirestack.client.Problem;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards the exit codes that scripts rely on, and clear errors for wrong arguments. */
+class SapphireCliTests {
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private final SapphireCli cli =
+            new SapphireCli(new PrintStream(out), new PrintStream(err), Map.of());
+
+    @ParameterizedTest
+    @CsvSource({
+        "401, no, FORBIDDEN",
+        "403, no, FORBIDDEN",
+        "404, no, NOT_FOUND",
+        "409, unknown, UNKNOWN",
+        "410, unknown, NOT_FOUND",
+        "412, no, CONFLICT",
+        "422, no, REFUSED",
+        "503, no, REFUSED",
+        "503, unknown, UNKNOWN",
+        "504, unknown, UNKNOWN"
+    })
+    void mapsRefusalsToExitCodes(int status, String ran, ExitCode expected) throws Exception {
+        Problem problem =
+                Problem.of(status, new ObjectMapper().readTree("{\"ran\":\"" + ran + "\"}"));
+
+        assertThat(ExitCode.of(new ClientException("a:1", problem))).isEqualTo(expected);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "nonsense",
+                "record put service",
+                "--output yaml status",
+                "wait soon",
+                "generate --model m",
+                "generate --model m --prompt a --prompt-file b",
+                "--timeout-ms 0 status",
+                "record put service s --file /nonexistent/file"
+            })
+    void reportsWrongArguments(String line) {
+        assertThat(cli.run(line.split(" "))).isEqualTo(ExitCode.USAGE);
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains("sapphire");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"not json", "{}", "{\"body\":3}"})
+    void refusesRecordFileWithoutBody(String content, @TempDir Path folder) throws Exception {
+        Path file = Files.writeString(folder.resolve("record.json"), content);
+
+        assertThat(cli.run("record", "put", "service", "s", "--file", file.toString()))
+                .isEqualTo(ExitCode.USAGE);
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains("parse-record");
+    }
+
+    @Test
+    void reportsUnreachableSystemAsJson() throws Exception {
+        ExitCode exitCode =
+                cli.run(
+                        "--output",
+                        "json",
+                        "--addresses",
+                        "127.0.0.1:1",
+                        "--timeout-ms",
+                        "1",
+                        "status");
+
+        assertThat(exitCode).isEqualTo(ExitCode.UNREACHABLE);
+        assertThat(new ObjectMapper().readTree(err.toByteArray()).path("exitCode").asInt())
+                .isEqualTo(8);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"--help", "record --help", "stop plan --help", "generate --help"})
+    void acceptsHelp(String line) {
+        assertThat(cli.run(line.split(" "))).isEqualTo(ExitCode.OK);
+    }
+}
--- /dev/null
+++ b/sapphire-client/src/main/java/io/sapphirestack/client/StreamReader.java
@@ -0,0 +1,156 @@
+package io.sapphirestack.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.sapphirestack.core.time.MillisClock;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.locks.LockSupport;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+
+/** Reads one generation to its end over as many connections as needed. Confined to one thread. */
+final class StreamReader {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long RETRY_PAUSE_MS = 100;
+    private static final String DATA = "data:";
+    private static final String ID = "id:";
+
+    private final SapphireClient client;
+    private final MillisClock clock;
+    private final long timeoutMs;
+    private final TokenListener listener;
+    private String generationId = "";
+    private long nextOffset;
+    private String finishReason = "";
+    private int connections;
+    private long lastTokenMs;
+    private long longestGapMs;
+
+    StreamReader(SapphireClient client, MillisClock clock, long timeoutMs, TokenListener listener) {
+        this.client = client;
+        this.clock = clock;
+        this.timeoutMs = timeoutMs;
+        this.listener = listener;
+    }
+
+    StreamResult read(ApiRequest start, String id, long fromOffset) throws ClientException {
+        generationId = id;
+        nextOffset = fromOffset;
+        lastTokenMs = clock.nowMs();
+        long progressMs = clock.nowMs();
+        ClientException last = null;
+        while (clock.nowMs() - progressMs < timeoutMs) {
+            for (String address : client.streamCandidates()) {
+                long before = nextOffset;
+                try {
+                    if (readOnce(address, generationId.isEmpty() ? start : continuation())) {
+                        return new StreamResult(
+                                generationId,
+                                nextOffset,
+                                finishReason,
+                                connections - 1,
+                                longestGapMs);
+                    }
+                    last =
+                            new ClientException(
+                                    "read-stream", address, "the stream ended early", null);
+                } catch (IOException | HttpException e) {
+                    last = new ClientException("read-stream", address, "the stream broke", e);
+                } catch (ClientException e) {
+                    last = e;
+                    if (!isTemporary(e)) {
+                        throw e;
+                    }
+                }
+                client.reportFailure(address);
+                if (nextOffset > before) {
+                    progressMs = clock.nowMs();
+                    break;
+                }
+            }
+            LockSupport.parkNanos(RETRY_PAUSE_MS * 1_000_000L);
+        }
+        throw last == null
+                ? new ClientException("read-stream", "none", "no address was tried", null)
+                : last;
+    }
+
+    private static boolean isTemporary(ClientException e) {
+        return e.problem().map(problem -> problem.status() == 503).orElse(true);
+    }
+
+    private ApiRequest continuation() {
+        String path = "/v1/generations/" + generationId + "/stream";
+        return nextOffset == 0
+                ? ApiRequest.of("GET", path)
+                : ApiRequest.of("GET", path)
+                        .withHeader("Last-Event-ID", Long.toString(nextOffset - 1));
+    }
+
+    private boolean readOnce(String address, ApiRequest request)
+            throws IOException, HttpException, ClientException {
+        try (ClassicHttpResponse response = client.openStream(address, request)) {
+            if (response.getCode() >= 400) {
+                JsonNode body = MAPPER.readTree(EntityUtils.toByteArray(response.getEntity()));
+                throw new ClientException(
+                        address,
+                        Problem.of(response.getCode(), body == null ? MAPPER.nullNode() : body));
+            }
+            connections++;
+            if (generationId.isEmpty()
+                    && response.getFirstHeader("Sapphire-Generation-Id") != null) {
+                generationId = response.getFirstHeader("Sapphire-Generation-Id").getValue();
+            }
+            return readEvents(
+                    address,
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    response.getEntity().getContent(), StandardCharsets.UTF_8)));
+        }
+    }
+
+    private boolean readEvents(String address, BufferedReader reader)
+            throws IOException, ClientException {
+        long offset = -1;
+        String line = reader.readLine();
+        while (line != null) {
+            if (line.startsWith(ID)) {
+                offset = Long.parseLong(line.substring(ID.length()).trim());
+            } else if (line.startsWith(DATA)) {
+                String data = line.substring(DATA.length()).trim();
+                if (data.equals("[DONE]")) {
+                    return true;
+                }
+                accept(address, offset, MAPPER.readTree(data));
+                offset = -1;
+            }
+            line = reader.readLine();
+        }
+        return false;
+    }
+
+    private void accept(String address, long offset, JsonNode chunk) throws ClientException {
+        JsonNode choice = chunk.path("choices").path(0);
+        if (offset < 0) {
+            finishReason = choice.path("finish_reason").asText("");
+            return;
+        }
+        if (offset != nextOffset) {
+            throw new ClientException(
+                    "check-offset",
+                    address,
+                    "expected offset " + nextOffset + " but got " + offset,
+                    null);
+        }
+        long nowMs = clock.nowMs();
+        longestGapMs = Math.max(longestGapMs, nowMs - lastTokenMs);
+        lastTokenMs = nowMs;
+        listener.onToken(generationId, offset, choice.path("text").asText());
+        nextOffset++;
+    }
+}
--- /dev/null
+++ b/sapphire-client/src/main/java/io/sapphirestack/client/TokenListener.java
@@ -0,0 +1,18 @@
+package io.sapphirestack.client;
+
+/**
+ * Receives the tokens of a generation, in order and without gaps. Called on the thread that reads
+ * the stream.
+ */
+@FunctionalInterface
+public interface TokenListener {
+
+    /**
+     * Takes one token.
+     *
+     * @param generationId identifier of the generation
+     * @param offset offset of the token
+     * @param text text of the token
+     */
+    void onToken(String generationId, long offset, String text);
+}
--- /dev/null
+++ b/sapphire-client/src/test/java/io/sapphirestack/client/SapphireClientTests.java
@@ -0,0 +1,169 @@
+package io.sapphirestack.client;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.sapphirestack.core.time.MillisClock;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
+import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.entity.EntityTemplate;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.io.CloseMode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against streams that are continued at the wrong offset and requests repeated after an
+ * unknown outcome.
+ */
+class SapphireClientTests {
+
+    private final List<HttpServer> servers = new ArrayList<>();
+
+    @AfterEach
+    void stopServers() {
+        servers.forEach(server -> server.close(CloseMode.IMMEDIATE));
+    }
+
+    @Test
+    void continuesBrokenStreamWithNextOffset() throws Exception {
+        List<String> lastEventIds = new ArrayList<>();
+        HttpRequestHandler handler =
+                (request, response, context) -> {
+                    boolean start = request.getMethod().equals("POST");
+                    if (!start) {
+                        lastEventIds.add(request.getFirstHeader("Last-Event-ID").getValue());
+                    }
+                    stream(response, start ? 0 : 3, start ? 3 : 5, !start);
+                };
+        String first = serve("/v1/*", handler);
+        String second = serve("/v1/*", handler);
+        List<Long> offsets = new ArrayList<>();
+
+        StreamResult result;
+        try (SapphireClient client = client(30_000, first, second)) {
+            result =
+                    client.generate(
+                            Map.of("model", "m"), "k1", (id, offset, text) -> offsets.add(offset));
+        }
+
+        assertThat(offsets).containsExactly(0L, 1L, 2L, 3L, 4L);
+        assertThat(lastEventIds).containsExactly("2");
+        assertThat(result.finishReason()).isEqualTo("length");
+        assertThat(result.continuations()).isEqualTo(1);
+    }
+
+    @Test
+    void refusesStreamWithGap() throws Exception {
+        String address =
+                serve(
+                        "/v1/generations/*",
+                        (request, response, context) -> stream(response, 1, 2, true));
+
+        try (SapphireClient client = client(200, address)) {
+            assertThatThrownBy(
+                            () ->
+                                    client.continueGeneration(
+                                            "g-i1-1-1-a", 0, (id, offset, text) -> {}))
+                    .isInstanceOf(ClientException.class)
+                    .hasMessageContaining("expected offset 0 but got 1");
+        }
+    }
+
+    @Test
+    void asksAnotherAddressAfterRefusalThatDidNotRun() throws Exception {
+        String stale =
+                serve(
+                        "/x",
+                        (request, response, context) ->
+                                refuse(response, 503, "configuration_stale", "no"));
+        String ready = serve("/x", (request, response, context) -> response.setCode(204));
+
+        try (SapphireClient client = client(30_000, stale, ready)) {
+            for (int i = 0; i < 10; i++) {
+                assertThat(client.call(ApiRequest.of("PUT", "/x")).status()).isEqualTo(204);
+            }
+        }
+    }
+
+    @Test
+    void doesNotRepeatRequestWithUnknownOutcome() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        HttpRequestHandler handler =
+                (request, response, context) -> {
+                    calls.incrementAndGet();
+                    refuse(response, 409, "outcome_unknown", "unknown");
+                };
+        String first = serve("/x", handler);
+        String second = serve("/x", handler);
+
+        try (SapphireClient client = client(30_000, first, second)) {
+            assertThatThrownBy(() -> client.call(ApiRequest.of("POST", "/x")))
+                    .isInstanceOfSatisfying(
+                            ClientException.class,
+                            e -> assertThat(e.problem().orElseThrow().ran()).isEqualTo("unknown"));
+        }
+        assertThat(calls).hasValue(1);
+    }
+
+    private SapphireClient client(long timeoutMs, String... addresses) {
+        return new SapphireClient(
+                new ClientOptions(List.of(addresses), "key", timeoutMs, 2_000),
+                MillisClock.monotonic());
+    }
+
+    private String serve(String path, HttpRequestHandler handler) throws IOException {
+        HttpServer server =
+                ServerBootstrap.bootstrap()
+                        .setLocalAddress(InetAddress.getLoopbackAddress())
+                        .setCanonicalHostName("127.0.0.1")
+                        .register(path, handler)
+                        .create();
+        server.start();
+        servers.add(server);
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    private static void stream(ClassicHttpResponse response, int from, int to, boolean whole) {
+        response.setCode(200);
+        response.setHeader("Sapphire-Generation-Id", "g-i1-1-1-a");
+        response.setEntity(
+                new EntityTemplate(
+                        -1,
+                        ContentType.TEXT_EVENT_STREAM,
+                        null,
+                        out -> writeEvents(out, from, to, whole)));
+    }
+
+    private static void writeEvents(OutputStream out, int from, int to, boolean whole)
+            throws IOException {
+        StringBuilder events = new StringBuilder();
+        for (int i = from; i < to; i++) {
+            events.append("id: ").append(i).append("\ndata: {\"choices\":[{\"text\":\"t\"}]}\n\n");
+        }
+        if (whole) {
+            events.append(
+                    "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"length\"}]}\n\ndata: [DONE]\n\n");
+        }
+        out.write(events.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void refuse(ClassicHttpResponse response, int status, String code, String ran) {
+        response.setCode(status);
+        response.setEntity(
+                new StringEntity(
+                        "{\"code\":\"" + code + "\",\"ran\":\"" + ran + "\"}",
+                        ContentType.APPLICATION_PROBLEM_JSON));
+    }
+}
