Add record specs, the order ledger, the control state machine and the replicated log node

Cause: the control log decides who holds accepted records, live instances and order reservations; nothing else can be wired before its decision logic exists. Conclusion: storage and the voter service can now be written against these types.

--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlState.java
@@ -0,0 +1,430 @@
+package io.sapphirestack.core.control;
+
+import io.sapphirestack.core.control.ControlSnapshot.OutstandingOrder;
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.id.InstanceId;
+import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.order.OrderEntry;
+import io.sapphirestack.core.order.OrderLedger;
+import io.sapphirestack.core.order.OrderOutcome;
+import io.sapphirestack.core.record.ConfigRecord;
+import io.sapphirestack.core.record.RecordKey;
+import io.sapphirestack.core.record.StopTarget;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Replicated state machine of the control log. Equal commands in equal order give equal states and
+ * answers on every voter; time and the verdict on a record's content come with the command. Not
+ * thread-safe, but the views that it returns are immutable.
+ */
+public final class ControlState {
+
+    /** Change ids and join ids whose first answer is kept. */
+    public static final int MAX_ANSWERS = 10_000;
+
+    /** Membership events that a view holds. */
+    public static final int MAX_EVENTS = 1_000;
+
+    /** Changes for which differences can be computed; a longer gap gets the whole view. */
+    private static final int MAX_CHANGES = 1_000;
+
+    private final RecordTable records = new RecordTable();
+    private final Map<InstanceId, InstanceInfo> instances = new TreeMap<>();
+    private final Map<InstanceId, Long> incarnations = new TreeMap<>();
+    private final Deque<MembershipEvent> events = new ArrayDeque<>();
+    private final FirstAnswers changeAnswers = new FirstAnswers(MAX_ANSWERS);
+    private final FirstAnswers joinAnswers = new FirstAnswers(MAX_ANSWERS);
+    private final OrderLedger orders = new OrderLedger();
+    private final Map<EndpointId, OutstandingOrder> endpointOrders = new TreeMap<>();
+    private final Map<String, String> voters = new TreeMap<>();
+    private final Deque<ViewChange> changes = new ArrayDeque<>();
+
+    /** Revision from which differences can be computed. */
+    private long oldestRevision;
+
+    private long index;
+    private long timeMs;
+    private ControlView view = ControlView.EMPTY;
+
+    /**
+     * Applies a command.
+     *
+     * @param entryIndex log index of the command, above that of the last one
+     * @param entryTimeMs time of the entry in milliseconds
+     * @param stamped command with the leader's verdict
+     * @return the answer
+     */
+    public ControlResult apply(long entryIndex, long entryTimeMs, StampedCommand stamped) {
+        advance(entryIndex, entryTimeMs);
+        ControlCommand command = stamped.command();
+        if (command instanceof ControlCommand.PutRecord put) {
+            return put(put, stamped.wrongField());
+        } else if (command instanceof ControlCommand.DeleteRecord delete) {
+            return delete(delete);
+        } else if (command instanceof ControlCommand.ReadHistory read) {
+            return new ControlResult.RecordHistory(records.newestFirst(read.key()));
+        } else if (command instanceof ControlCommand.JoinInstance join) {
+            return joinAnswers.find(join.joinId()).orElseGet(() -> join(join));
+        } else if (command instanceof ControlCommand.EvictInstances evict) {
+            evict(evict);
+            return new ControlResult.Applied(index);
+        } else if (command instanceof ControlCommand.ReserveOrder reserve) {
+            return result(
+                    orders.reserve(
+                            reserve.key(),
+                            reserve.bodyHash(),
+                            reserve.holder(),
+                            reserve.nonce(),
+                            timeMs));
+        } else if (command instanceof ControlCommand.ReleaseOrder release) {
+            return result(orders.release(release.key(), release.nonce(), timeMs));
+        } else if (command instanceof ControlCommand.CompleteOrder complete) {
+            return result(
+                    orders.complete(
+                            complete.key(),
+                            complete.nonce(),
+                            complete.status(),
+                            complete.contentType(),
+                            complete.answer(),
+                            timeMs));
+        } else if (command instanceof ControlCommand.ReadOrder read) {
+            return result(orders.read(read.key(), timeMs));
+        } else if (command instanceof ControlCommand.IssueEndpointOrder issue) {
+            return issue(issue);
+        } else if (command instanceof ControlCommand.CompleteEndpointOrder complete) {
+            endpointOrders.computeIfPresent(
+                    complete.endpoint(),
+                    (id, order) -> order.fencingToken() == complete.fencingToken() ? null : order);
+            return new ControlResult.Applied(index);
+        }
+        throw new IllegalStateException("unknown command " + command.getClass().getName());
+    }
+
+    /**
+     * Applies an entry without a command, such as a change of the voters.
+     *
+     * @param entryIndex log index of the entry
+     * @param entryTimeMs time of the entry in milliseconds
+     * @param newVoters address of each voter by its identity, or empty if they stay
+     */
+    public void applyVoters(
+            long entryIndex, long entryTimeMs, Optional<Map<String, String>> newVoters) {
+        advance(entryIndex, entryTimeMs);
+        newVoters.ifPresent(
+                next -> {
+                    voters.clear();
+                    voters.putAll(next);
+                });
+    }
+
+    /** Returns the current view. */
+    public ControlView view() {
+        return view;
+    }
+
+    /** Returns the last log entry that was applied. */
+    public long index() {
+        return index;
+    }
+
+    /** Returns the time of the last applied entry in milliseconds. */
+    public long timeMs() {
+        return timeMs;
+    }
+
+    /**
+     * Computes the difference from an earlier view.
+     *
+     * @param revision revision of that view
+     * @return the difference, or empty if the revision is too old or was never current here
+     */
+    public Optional<ControlDelta> deltaSince(long revision) {
+        if (revision < oldestRevision || revision > view.revision()) {
+            return Optional.empty();
+        }
+        Set<RecordKey> keys = new LinkedHashSet<>();
+        Set<InstanceId> ids = new LinkedHashSet<>();
+        List<MembershipEvent> newEvents = new ArrayList<>();
+        for (ViewChange change : changes) {
+            if (change.index() > revision) {
+                keys.addAll(change.keys());
+                ids.addAll(change.ids());
+                newEvents.addAll(change.events());
+            }
+        }
+        return Optional.of(
+                new ControlDelta(
+                        revision,
+                        view.revision(),
+                        keys.stream().flatMap(key -> records.find(key).stream()).toList(),
+                        keys.stream().filter(key -> records.find(key).isEmpty()).toList(),
+                        ids.stream().filter(instances::containsKey).map(instances::get).toList(),
+                        ids.stream().filter(id -> !instances.containsKey(id)).toList(),
+                        newEvents));
+    }
+
+    /**
+     * Returns the complete state.
+     *
+     * @param clusterId cluster that the state belongs to
+     * @return immutable copy of the state
+     */
+    public ControlSnapshot snapshot(String clusterId) {
+        return new ControlSnapshot(
+                clusterId,
+                index,
+                timeMs,
+                view,
+                records.histories(),
+                changeAnswers.list(),
+                joinAnswers.list(),
+                Map.copyOf(incarnations),
+                orders.entries(),
+                Map.copyOf(endpointOrders),
+                Map.copyOf(voters));
+    }
+
+    /**
+     * Replaces the state.
+     *
+     * @param snapshot state to take over
+     * @param clusterId cluster that the voter belongs to
+     * @throws IllegalArgumentException if the snapshot belongs to another cluster
+     */
+    public void restore(ControlSnapshot snapshot, String clusterId) {
+        if (!snapshot.clusterId().equals(clusterId)) {
+            throw new IllegalArgumentException(
+                    "snapshot of cluster "
+                            + snapshot.clusterId()
+                            + " does not belong to cluster "
+                            + clusterId);
+        }
+        index = snapshot.index();
+        timeMs = snapshot.timeMs();
+        view = snapshot.view();
+        oldestRevision = view.revision();
+        changes.clear();
+        records.restore(view.records(), snapshot.histories());
+        instances.clear();
+        instances.putAll(view.instances());
+        events.clear();
+        events.addAll(view.events());
+        changeAnswers.restore(snapshot.changeAnswers());
+        joinAnswers.restore(snapshot.joinAnswers());
+        incarnations.clear();
+        incarnations.putAll(snapshot.incarnations());
+        orders.restore(snapshot.orders());
+        endpointOrders.clear();
+        endpointOrders.putAll(snapshot.endpointOrders());
+        voters.clear();
+        voters.putAll(snapshot.voters());
+    }
+
+    private void advance(long entryIndex, long entryTimeMs) {
+        if (entryIndex <= index) {
+            throw new IllegalArgumentException(
+                    "entry " + entryIndex + " was applied already, last is " + index);
+        }
+        index = entryIndex;
+        timeMs = Math.max(timeMs, entryTimeMs);
+    }
+
+    private ControlResult put(ControlCommand.PutRecord put, Optional<String> wrongField) {
+        Optional<ControlResult> first = changeAnswers.find(put.changeId());
+        if (first.isPresent()) {
+            return first.get();
+        }
+        ControlResult result = checkPut(put, wrongField);
+        if (put.dryRun()) {
+            return result;
+        }
+        if (result instanceof ControlResult.RecordAccepted) {
+            records.put(
+                    new ConfigRecord(
+                            put.key(),
+                            put.schemaVersion(),
+                            put.minimumReader(),
+                            index,
+                            put.changeId(),
+                            put.operator(),
+                            put.body()));
+            publish(Set.of(put.key()), Set.of(), List.of());
+        }
+        return changeAnswers.keep(put.changeId(), result);
+    }
+
+    private ControlResult checkPut(ControlCommand.PutRecord put, Optional<String> wrongField) {
+        if (wrongField.isPresent()) {
+            return new ControlResult.RecordRefused("invalid_record", wrongField.get());
+        }
+        if (records.revisionOf(put.key()) != put.expectedRevision()) {
+            return records.conflict(put.key());
+        }
+        List<InstanceRef> unable =
+                instances.values().stream()
+                        .filter(info -> info.readerVersion() < put.minimumReader())
+                        .map(InstanceInfo::ref)
+                        .toList();
+        if (!unable.isEmpty()) {
+            return new ControlResult.RecordRefused(
+                    "unreadable_by_instances",
+                    "minimumReader " + put.minimumReader() + " is not read by " + unable);
+        }
+        if (stopBreaksMajority(put.key())) {
+            return new ControlResult.RecordRefused(
+                    "stop_breaks_majority",
+                    "without " + put.key().name() + " the voters would have no majority");
+        }
+        return new ControlResult.RecordAccepted(put.dryRun() ? view.revision() : index);
+    }
+
+    /**
+     * Counts a voter as running if an instance with its address is live and not being stopped.
+     * Nothing is refused while the instances of the remaining voters have not joined.
+     */
+    private boolean stopBreaksMajority(RecordKey stop) {
+        String prefix = StopTarget.INSTANCE.namePrefix();
+        if (!stop.kind().equals("stop")
+                || !stop.name().startsWith(prefix)
+                || records.find(stop).isPresent()) {
+            return false;
+        }
+        String stoppedId = stop.name().substring(prefix.length());
+        boolean isVoter =
+                instances.values().stream()
+                        .anyMatch(
+                                info ->
+                                        info.ref().id().value().equals(stoppedId)
+                                                && voters.containsValue(info.peerAddress()));
+        if (!isVoter) {
+            return false;
+        }
+        long remaining =
+                instances.values().stream()
+                        .filter(info -> voters.containsValue(info.peerAddress()))
+                        .map(info -> info.ref().id().value())
+                        .filter(id -> !id.equals(stoppedId))
+                        .filter(id -> records.find(new RecordKey("stop", prefix + id)).isEmpty())
+                        .count();
+        return remaining < voters.size() / 2 + 1;
+    }
+
+    private ControlResult delete(ControlCommand.DeleteRecord delete) {
+        Optional<ControlResult> first = changeAnswers.find(delete.changeId());
+        if (first.isPresent()) {
+            return first.get();
+        }
+        long current = records.revisionOf(delete.key());
+        ControlResult result;
+        if (current != delete.expectedRevision()) {
+            result = records.conflict(delete.key());
+        } else if (current == 0) {
+            result = new ControlResult.RecordRefused("not_found", "no record " + delete.key());
+        } else {
+            result = new ControlResult.RecordAccepted(delete.dryRun() ? view.revision() : index);
+        }
+        if (delete.dryRun()) {
+            return result;
+        }
+        if (result instanceof ControlResult.RecordAccepted) {
+            records.delete(delete.key(), index, delete.changeId(), delete.operator());
+            publish(Set.of(delete.key()), Set.of(), List.of());
+        }
+        return changeAnswers.keep(delete.changeId(), result);
+    }
+
+    private ControlResult join(ControlCommand.JoinInstance join) {
+        InstanceInfo proposed = join.info();
+        InstanceId id = proposed.ref().id();
+        long incarnation =
+                Math.max(proposed.ref().incarnation(), incarnations.getOrDefault(id, 0L) + 1);
+        InstanceRef ref = new InstanceRef(id, incarnation);
+        List<MembershipEvent> newEvents = new ArrayList<>();
+        InstanceInfo previous = instances.get(id);
+        if (previous != null) {
+            newEvents.add(
+                    new MembershipEvent.Evicted(
+                            index, List.of(previous.ref()), "replaced by a new incarnation"));
+        }
+        newEvents.add(new MembershipEvent.Joined(index, ref, join.retainedFrom()));
+        incarnations.put(id, incarnation);
+        instances.put(
+                id,
+                new InstanceInfo(
+                        ref,
+                        proposed.availabilityZone(),
+                        proposed.region(),
+                        proposed.peerAddress(),
+                        proposed.httpAddress(),
+                        proposed.readerVersion()));
+        publish(Set.of(), Set.of(id), newEvents);
+        return joinAnswers.keep(join.joinId(), new ControlResult.Joined(ref, index));
+    }
+
+    private void evict(ControlCommand.EvictInstances evict) {
+        List<InstanceRef> gone =
+                evict.refs().stream().filter(view::isLive).distinct().sorted().toList();
+        if (gone.isEmpty()) {
+            return;
+        }
+        Set<InstanceId> ids = new LinkedHashSet<>();
+        for (InstanceRef ref : gone) {
+            instances.remove(ref.id());
+            ids.add(ref.id());
+        }
+        publish(Set.of(), ids, List.of(new MembershipEvent.Evicted(index, gone, evict.reason())));
+    }
+
+    private ControlResult issue(ControlCommand.IssueEndpointOrder issue) {
+        OutstandingOrder outstanding = endpointOrders.get(issue.endpoint());
+        if (outstanding != null) {
+            return new ControlResult.EndpointOrderOutstanding(outstanding.fencingToken());
+        }
+        endpointOrders.put(issue.endpoint(), new OutstandingOrder(index, issue.order()));
+        return new ControlResult.EndpointOrderIssued(index);
+    }
+
+    private void publish(
+            Set<RecordKey> keys, Set<InstanceId> ids, List<MembershipEvent> newEvents) {
+        events.addAll(newEvents);
+        while (events.size() > MAX_EVENTS) {
+            events.removeFirst();
+        }
+        changes.add(new ViewChange(index, keys, ids, newEvents));
+        if (changes.size() > MAX_CHANGES) {
+            oldestRevision = changes.removeFirst().index();
+        }
+        view = new ControlView(index, records.records(), instances, List.copyOf(events));
+    }
+
+    private static ControlResult result(OrderOutcome outcome) {
+        if (outcome instanceof OrderOutcome.Granted granted) {
+            return new ControlResult.OrderGranted(granted.nonce());
+        } else if (outcome instanceof OrderOutcome.Reserved reserved) {
+            OrderEntry entry = reserved.entry();
+            return new ControlResult.OrderReserved(entry.holder(), entry.nonce(), entry.bodyHash());
+        } else if (outcome instanceof OrderOutcome.Released released) {
+            return new ControlResult.OrderReleased(released.bodyHash());
+        } else if (outcome instanceof OrderOutcome.Done done) {
+            OrderEntry entry = done.entry();
+            return new ControlResult.OrderDone(
+                    entry.bodyHash(), entry.status(), entry.contentType(), entry.answer());
+        } else if (outcome instanceof OrderOutcome.KeyReused) {
+            return new ControlResult.OrderKeyReused();
+        } else if (outcome instanceof OrderOutcome.LedgerFull) {
+            return new ControlResult.OrderLedgerFull();
+        }
+        return new ControlResult.OrderNotFound();
+    }
+
+    private record ViewChange(
+            long index, Set<RecordKey> keys, Set<InstanceId> ids, List<MembershipEvent> events) {}
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/record/SpecReader.java
@@ -0,0 +1,121 @@
+package io.sapphirestack.core.record;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Arrays;
+
+/** Reads typed fields of a record's body; errors name the path of the wrong field. */
+final class SpecReader {
+
+    private final JsonNode body;
+    private final String path;
+
+    SpecReader(JsonNode body, String path) {
+        if (!body.isObject()) {
+            throw new InvalidFieldException(
+                    path.isEmpty() ? "body" : path, "must be a JSON object");
+        }
+        this.body = body;
+        this.path = path;
+    }
+
+    SpecReader child(String field) {
+        JsonNode node = body.get(field);
+        return node == null || node.isNull() ? null : new SpecReader(node, pathOf(field));
+    }
+
+    SpecReader requiredChild(String field) {
+        SpecReader child = child(field);
+        if (child == null) {
+            throw new InvalidFieldException(pathOf(field), "is required");
+        }
+        return child;
+    }
+
+    String text(String field, String defaultValue) {
+        JsonNode node = body.get(field);
+        if (node == null || node.isNull()) {
+            if (defaultValue == null) {
+                throw new InvalidFieldException(pathOf(field), "is required");
+            }
+            return defaultValue;
+        }
+        if (!node.isTextual()) {
+            throw new InvalidFieldException(pathOf(field), "must be a string");
+        }
+        return node.textValue();
+    }
+
+    String keyHash(String field) {
+        String value = text(field, null);
+        if (!value.matches("sha256\\$([0-9a-fA-F]{2})+\\$[0-9a-fA-F]{64}")) {
+            throw new InvalidFieldException(pathOf(field), "must be sha256$SALT$DIGEST");
+        }
+        return value;
+    }
+
+    boolean flag(String field, boolean defaultValue) {
+        JsonNode node = body.get(field);
+        if (node == null || node.isNull()) {
+            return defaultValue;
+        }
+        if (!node.isBoolean()) {
+            throw new InvalidFieldException(pathOf(field), "must be true or false");
+        }
+        return node.booleanValue();
+    }
+
+    long integer(String field, Long defaultValue, long min, long max) {
+        JsonNode node = body.get(field);
+        if (node == null || node.isNull()) {
+            if (defaultValue == null) {
+                throw new InvalidFieldException(pathOf(field), "is required");
+            }
+            return defaultValue;
+        }
+        if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+            throw new InvalidFieldException(pathOf(field), "must be an integer");
+        }
+        long value = node.longValue();
+        if (value < min || value > max) {
+            throw new InvalidFieldException(
+                    pathOf(field), "must be between " + min + " and " + max + " but is " + value);
+        }
+        return value;
+    }
+
+    double decimal(String field, double defaultValue) {
+        JsonNode node = body.get(field);
+        if (node == null || node.isNull()) {
+            return defaultValue;
+        }
+        if (!node.isNumber() || !Double.isFinite(node.doubleValue())) {
+            throw new InvalidFieldException(pathOf(field), "must be a number");
+        }
+        return node.doubleValue();
+    }
+
+    <T extends Enum<T>> T choice(String field, Class<T> type, T defaultValue) {
+        String value = text(field, defaultValue == null ? null : defaultValue.name());
+        for (T constant : type.getEnumConstants()) {
+            if (constant.name().equals(value)) {
+                return constant;
+            }
+        }
+        throw new InvalidFieldException(
+                pathOf(field), "must be one of " + Arrays.toString(type.getEnumConstants()));
+    }
+
+    String pathOf(String field) {
+        return path.isEmpty() ? field : path + "." + field;
+    }
+
+    /** A field of a record's body has a wrong value. */
+    static final class InvalidFieldException extends RuntimeException {
+
+        private static final long serialVersionUID = 1L;
+
+        InvalidFieldException(String field, String problem) {
+            super(field + " " + problem);
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationLog.java
@@ -0,0 +1,141 @@
+package io.sapphirestack.core.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/**
+ * The log of one node in memory. Keeps some entries before the snapshot, so that a follower that is
+ * only slightly behind needs no snapshot. Not thread-safe.
+ */
+final class ReplicationLog {
+
+    /** Entries before a snapshot that stay in memory; about one second at the target load. */
+    static final int TRAILING_ENTRIES = 2_048;
+
+    private SnapshotMeta snapshotMeta;
+    private byte[] snapshotData;
+    private long baseIndex;
+    private long baseTerm;
+    private final List<ReplicationEntry> entries = new ArrayList<>();
+    private final NavigableMap<Long, ClusterMembership> memberships = new TreeMap<>();
+
+    ReplicationLog(StoredState stored) {
+        snapshotMeta = stored.snapshot().map(StoredSnapshot::meta).orElse(SnapshotMeta.NONE);
+        snapshotData = stored.snapshot().map(StoredSnapshot::data).orElse(new byte[0]);
+        baseIndex = snapshotMeta.index();
+        baseTerm = snapshotMeta.term();
+        memberships.put(snapshotMeta.index(), snapshotMeta.membership());
+        stored.entries().forEach(this::append);
+    }
+
+    long lastIndex() {
+        return baseIndex + entries.size();
+    }
+
+    long lastTerm() {
+        return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).term();
+    }
+
+    long lastTimeMs() {
+        return entries.isEmpty()
+                ? snapshotMeta.timeMs()
+                : Math.max(snapshotMeta.timeMs(), entries.get(entries.size() - 1).timeMs());
+    }
+
+    boolean isEmpty() {
+        return lastIndex() == 0;
+    }
+
+    /** Returns the term of an entry, or -1 if the entry is not in memory. */
+    long termAt(long index) {
+        if (index == baseIndex) {
+            return baseTerm;
+        }
+        if (index < baseIndex || index > lastIndex()) {
+            return -1;
+        }
+        return get(index).term();
+    }
+
+    ReplicationEntry get(long index) {
+        return entries.get((int) (index - baseIndex - 1));
+    }
+
+    List<ReplicationEntry> range(long from, long to, int maxBytes) {
+        List<ReplicationEntry> result = new ArrayList<>();
+        long bytes = 0;
+        for (long index = from; index <= to; index++) {
+            ReplicationEntry entry = get(index);
+            bytes += entry.sizeBytes();
+            if (!result.isEmpty() && bytes > maxBytes) {
+                break;
+            }
+            result.add(entry);
+        }
+        return result;
+    }
+
+    void append(ReplicationEntry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalStateException(
+                    "entry " + entry.index() + " does not follow entry " + lastIndex());
+        }
+        entries.add(entry);
+        entry.membership().ifPresent(value -> memberships.put(entry.index(), value));
+    }
+
+    void truncateFrom(long index) {
+        entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        memberships.tailMap(index, true).clear();
+    }
+
+    ClusterMembership membership() {
+        return memberships.lastEntry().getValue();
+    }
+
+    long membershipIndex() {
+        return memberships.lastKey();
+    }
+
+    SnapshotMeta snapshotMeta() {
+        return snapshotMeta;
+    }
+
+    byte[] snapshotData() {
+        return snapshotData;
+    }
+
+    StoredSnapshot compact(long index, byte[] data) {
+        ClusterMembership membership = memberships.floorEntry(index).getValue();
+        snapshotMeta = new SnapshotMeta(index, termAt(index), get(index).timeMs(), membership);
+        snapshotData = data;
+        long newBase = Math.max(baseIndex, index - TRAILING_ENTRIES);
+        if (newBase > baseIndex) {
+            long newBaseTerm = termAt(newBase);
+            entries.subList(0, (int) (newBase - baseIndex)).clear();
+            baseIndex = newBase;
+            baseTerm = newBaseTerm;
+        }
+        forgetMembershipsBefore(index);
+        return new StoredSnapshot(snapshotMeta, data);
+    }
+
+    /** Replaces the whole log by a snapshot. */
+    void install(StoredSnapshot snapshot) {
+        snapshotMeta = snapshot.meta();
+        snapshotData = snapshot.data();
+        entries.clear();
+        memberships.clear();
+        baseIndex = snapshotMeta.index();
+        baseTerm = snapshotMeta.term();
+        memberships.put(snapshotMeta.index(), snapshotMeta.membership());
+    }
+
+    private void forgetMembershipsBefore(long index) {
+        Map.Entry<Long, ClusterMembership> floor = memberships.floorEntry(index);
+        memberships.headMap(floor.getKey(), false).clear();
+    }
+}
