--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/generation/ReplicaSet.java
@@ -0,0 +1,144 @@
+package io.sapphirestack.core.generation;
+
+import io.sapphirestack.core.control.MembershipEvent;
+import io.sapphirestack.core.id.InstanceRef;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Owner and members of a generation as a function of a member list and the membership events after
+ * it, so that every holder computes the same owner. Immutable.
+ *
+ * @param asOf log index of the last membership event that is reflected
+ * @param epoch log index of the event that made the current owner
+ * @param members live members; the first one is the owner
+ * @param active how many of the first members may take over. A member that the owner has just added
+ *     is not active until all members before it know the longer list; otherwise one of them could
+ *     continue without the new member, whose copy would then be incomplete
+ * @param pending members that were live just before no member remained; empty while there is an
+ *     owner
+ */
+public record ReplicaSet(
+        long asOf, long epoch, List<InstanceRef> members, int active, List<InstanceRef> pending) {
+
+    /** Copies the lists and checks that the counts fit. */
+    public ReplicaSet {
+        members = List.copyOf(members);
+        pending = List.copyOf(pending);
+        if (active < 0 || active > members.size()) {
+            throw new IllegalArgumentException("active must be between 0 and the member count");
+        }
+    }
+
+    /**
+     * Creates the set of a generation that was just accepted and has no replicas yet.
+     *
+     * @param owner accepting instance
+     * @param revision revision of the control view that it used
+     * @return set with the owner as the only member
+     */
+    public static ReplicaSet initial(InstanceRef owner, long revision) {
+        return new ReplicaSet(revision, revision, List.of(owner), 1, List.of());
+    }
+
+    /** Returns the owner, or empty while ownership is pending. */
+    public Optional<InstanceRef> owner() {
+        return members.isEmpty() ? Optional.empty() : Optional.of(members.get(0));
+    }
+
+    /**
+     * Tells whether an incarnation is a member that may take over.
+     *
+     * @param ref incarnation of an instance
+     * @return whether it is active
+     */
+    public boolean isActive(InstanceRef ref) {
+        int index = members.indexOf(ref);
+        return index >= 0 && index < active;
+    }
+
+    /**
+     * Appends a member that is not active yet.
+     *
+     * @param ref new member
+     * @return longer set
+     */
+    public ReplicaSet withMember(InstanceRef ref) {
+        Objects.requireNonNull(ref, "ref");
+        if (members.contains(ref)) {
+            return this;
+        }
+        List<InstanceRef> longer = new ArrayList<>(members);
+        longer.add(ref);
+        return new ReplicaSet(asOf, epoch, longer, active, pending);
+    }
+
+    /** Returns a set in which the next member is active. */
+    public ReplicaSet withNextActive() {
+        return new ReplicaSet(asOf, epoch, members, active + 1, pending);
+    }
+
+    /**
+     * Applies membership events.
+     *
+     * @param events events in log order; those up to {@link #asOf()} are skipped
+     * @return set after the events
+     */
+    public ReplicaSet apply(List<MembershipEvent> events) {
+        ReplicaSet set = this;
+        long last = asOf;
+        for (MembershipEvent event : events) {
+            if (event.index() <= asOf) {
+                continue;
+            }
+            if (event instanceof MembershipEvent.Evicted evicted) {
+                set = set.evict(evicted.refs(), event.index());
+            } else if (event instanceof MembershipEvent.Joined joined) {
+                set = set.join(joined);
+            }
+            last = Math.max(last, event.index());
+        }
+        return last == asOf
+                ? this
+                : new ReplicaSet(last, set.epoch, set.members, set.active, set.pending);
+    }
+
+    private ReplicaSet evict(List<InstanceRef> refs, long index) {
+        List<InstanceRef> remaining = new ArrayList<>();
+        int stillActive = 0;
+        for (int i = 0; i < members.size(); i++) {
+            InstanceRef member = members.get(i);
+            if (!refs.contains(member)) {
+                remaining.add(member);
+                stillActive += i < active ? 1 : 0;
+            }
+        }
+        if (remaining.size() == members.size()) {
+            return this;
+        }
+        if (remaining.isEmpty()) {
+            return new ReplicaSet(asOf, epoch, List.of(), 0, members);
+        }
+        boolean sameOwner = remaining.get(0).equals(members.get(0));
+        return new ReplicaSet(asOf, sameOwner ? epoch : index, remaining, stillActive, List.of());
+    }
+
+    private ReplicaSet join(MembershipEvent.Joined joined) {
+        // A joining incarnation replaces an earlier one, which counts as evicted just before.
+        List<InstanceRef> replaced =
+                members.stream()
+                        .filter(member -> member.id().equals(joined.ref().id()))
+                        .filter(member -> member.incarnation() < joined.ref().incarnation())
+                        .toList();
+        ReplicaSet set = replaced.isEmpty() ? this : evict(replaced, joined.index());
+        boolean takesOver =
+                set.members.isEmpty()
+                        && joined.retainedFrom().isPresent()
+                        && set.pending.contains(joined.retainedFrom().get());
+        return takesOver
+                ? new ReplicaSet(asOf, joined.index(), List.of(joined.ref()), 1, List.of())
+                : set;
+    }
+}
