--- a/sapphire-core/src/main/java/io/sapphirestack/core/generation/GenerationCopy.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/generation/GenerationCopy.java
@@ -86,6 +86,11 @@
         return owner == null ? attempt : owner.attempt();
     }
 
+    /** Returns whether this holder is a member that may take over. */
+    public boolean active() {
+        return activeAs != null;
+    }
+
     /**
      * Tells whether this copy can still matter: as owner, as member, or while ownership is pending.
      *
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/Calls.java
@@ -0,0 +1,31 @@
+package io.sapphirestack.runtime.generation;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Waits for replies of peers. */
+final class Calls {
+
+    private Calls() {}
+
+    /**
+     * Waits for a reply.
+     *
+     * @param call call in flight
+     * @param timeoutMs longest time to wait in milliseconds
+     * @return the reply, or empty if the call failed, timed out or was interrupted
+     */
+    static <R> Optional<R> await(CompletableFuture<R> call, long timeoutMs) {
+        try {
+            return Optional.ofNullable(call.get(timeoutMs, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        } catch (ExecutionException | TimeoutException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/EngineClient.java
@@ -0,0 +1,161 @@
+package io.sapphirestack.runtime.generation;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sapphirestack.core.generation.GenerationSpec;
+import io.sapphirestack.core.id.GenerationId;
+import io.sapphirestack.runtime.endpoint.EndpointConnection;
+import io.sapphirestack.runtime.endpoint.EndpointException;
+import io.sapphirestack.runtime.error.ServiceException;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.Method;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+
+/** Requests to engines; each uses a connection of its own. Thread-safe; calls block. */
+final class EngineClient {
+
+    /** Result of a probe. */
+    enum Probe {
+        /** The engine answered. */
+        ANSWERED,
+        /** No answer came in time. */
+        UNANSWERED,
+        /** The connection was refused or reset. */
+        REFUSED
+    }
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Time for a best-effort cancel in milliseconds; a dead engine must not hold the thread. */
+    private static final long CANCEL_TIMEOUT_MS = 300;
+
+    /**
+     * Starts an attempt.
+     *
+     * @param address engine
+     * @param spec request and pinned values
+     * @param attempt number of the attempt
+     * @param prefix tokens that exist already
+     * @param priority priority of the account
+     * @param silenceMs longest silence in milliseconds
+     * @return stream that starts at the offset {@code prefix.size()}
+     * @throws EngineRefusedException if the engine refused
+     * @throws EndpointException if the exchange failed
+     */
+    EngineStream start(
+            String address,
+            GenerationSpec spec,
+            int attempt,
+            List<String> prefix,
+            int priority,
+            long silenceMs)
+            throws ServiceException {
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("generation", spec.id().value()).put("attempt", attempt);
+        body.putObject("model")
+                .put("model", spec.pin().model())
+                .put("adapter", spec.pin().adapter())
+                .put("version", spec.pin().version());
+        body.put("seed", spec.seed()).put("prompt", spec.prompt());
+        ArrayNode tokens = body.putArray("prefix");
+        prefix.forEach(tokens::add);
+        body.put("maxTokens", spec.maxTokens()).put("priority", priority);
+        ClassicHttpRequest request = new BasicClassicHttpRequest(Method.POST, "/v1/streams");
+        request.setEntity(new ByteArrayEntity(bytes(body), ContentType.APPLICATION_JSON));
+        return stream("start", address, request, silenceMs);
+    }
+
+    /**
+     * Reads a running attempt again.
+     *
+     * @param address engine
+     * @param id generation
+     * @param attempt number of the attempt
+     * @param from offset of the first token wanted
+     * @param silenceMs longest silence in milliseconds
+     * @return stream that starts at that offset
+     * @throws EngineRefusedException if the engine does not know the attempt
+     * @throws EndpointException if the exchange failed
+     */
+    EngineStream attach(String address, GenerationId id, int attempt, long from, long silenceMs)
+            throws ServiceException {
+        ClassicHttpRequest request =
+                new BasicClassicHttpRequest(Method.GET, path(id, attempt) + "?from=" + from);
+        return stream("attach", address, request, silenceMs);
+    }
+
+    /**
+     * Cancels an attempt, best effort.
+     *
+     * @param address engine
+     * @param id generation
+     * @param attempt number of the attempt
+     */
+    void cancel(String address, GenerationId id, int attempt) {
+        try (EndpointConnection connection =
+                EndpointConnection.open(address, CANCEL_TIMEOUT_MS, CANCEL_TIMEOUT_MS)) {
+            connection.exchange(new BasicClassicHttpRequest(Method.DELETE, path(id, attempt)));
+        } catch (EndpointException e) {
+            // The engine drops a stream by itself when nobody has read it for 30 s.
+        }
+    }
+
+    /**
+     * Probes an engine on a new connection.
+     *
+     * @param address engine
+     * @param timeoutMs longest time for the answer in milliseconds
+     * @return what came of it
+     */
+    Probe probe(String address, long timeoutMs) {
+        try (EndpointConnection connection =
+                EndpointConnection.open(address, timeoutMs, timeoutMs)) {
+            connection.exchange(new BasicClassicHttpRequest(Method.GET, "/health"));
+            return Probe.ANSWERED;
+        } catch (EndpointException e) {
+            return e.silent() ? Probe.UNANSWERED : Probe.REFUSED;
+        }
+    }
+
+    private static EngineStream stream(
+            String step, String address, ClassicHttpRequest request, long silenceMs)
+            throws ServiceException {
+        EndpointConnection connection = EndpointConnection.open(address, silenceMs, silenceMs);
+        boolean streaming = false;
+        try {
+            ClassicHttpResponse response = connection.exchange(request);
+            HttpEntity entity = response.getEntity();
+            if (response.getCode() != 200 || entity == null) {
+                throw new EngineRefusedException(step, address, response.getCode());
+            }
+            streaming = true;
+            return new EngineStream(connection, entity.getContent());
+        } catch (IOException e) {
+            throw new EndpointException(step, address, "no body", true, false, e);
+        } finally {
+            if (!streaming) {
+                connection.close();
+            }
+        }
+    }
+
+    private static String path(GenerationId id, int attempt) {
+        return "/v1/streams/" + id + "/" + attempt;
+    }
+
+    private static byte[] bytes(ObjectNode body) {
+        try {
+            return MAPPER.writeValueAsBytes(body);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/EngineStream.java
@@ -0,0 +1,100 @@
+package io.sapphirestack.runtime.generation;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.sapphirestack.runtime.endpoint.EndpointConnection;
+import io.sapphirestack.runtime.endpoint.EndpointException;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Server-sent events of one attempt. Not thread-safe, except that {@link #close()} may be called
+ * from any thread to abort.
+ */
+final class EngineStream implements Closeable {
+
+    /** One event of the stream. */
+    sealed interface Event {}
+
+    /** A token with its offset. */
+    record Token(long offset, String text) implements Event {}
+
+    /** A keep-alive comment. */
+    record KeepAlive() implements Event {}
+
+    /** End of the output. */
+    record End(String finishReason) implements Event {}
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final KeepAlive KEEP_ALIVE = new KeepAlive();
+
+    private final EndpointConnection connection;
+    private final BufferedReader reader;
+
+    EngineStream(EndpointConnection connection, InputStream body) {
+        this.connection = connection;
+        this.reader = new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Waits for the next event.
+     *
+     * @return the event
+     * @throws EndpointException if nothing came in time, or the stream broke or was malformed
+     */
+    Event next() throws EndpointException {
+        try {
+            return read();
+        } catch (SocketTimeoutException e) {
+            throw new EndpointException(
+                    "receive", connection.address(), "stream is silent", true, true, e);
+        } catch (IOException | RuntimeException e) {
+            throw new EndpointException(
+                    "receive", connection.address(), "stream broke", true, false, e);
+        }
+    }
+
+    private Event read() throws IOException {
+        long offset = -1;
+        String event = "";
+        String data = "";
+        while (true) {
+            String line = reader.readLine();
+            if (line == null) {
+                throw new IOException("end of stream before the end event");
+            }
+            if (line.startsWith(":")) {
+                return KEEP_ALIVE;
+            } else if (line.startsWith("id:")) {
+                offset = Long.parseLong(line.substring(3).trim());
+            } else if (line.startsWith("event:")) {
+                event = line.substring(6).trim();
+            } else if (line.startsWith("data:")) {
+                data = line.substring(5).trim();
+            } else if (line.isEmpty() && !data.isEmpty()) {
+                return parse(offset, event, MAPPER.readTree(data));
+            }
+        }
+    }
+
+    private static Event parse(long offset, String event, JsonNode data) throws IOException {
+        if (event.equals("end")) {
+            String reason = data.path("finishReason").asText("stop");
+            return new End(reason.isEmpty() ? "stop" : reason);
+        }
+        if (offset < 0 || !data.path("token").isTextual()) {
+            throw new IOException("event without offset or token");
+        }
+        return new Token(offset, data.path("token").textValue());
+    }
+
+    @Override
+    public void close() {
+        connection.close();
+    }
+}
