Add endpoint choice, account limits and report dissemination

Cause: instances need to agree on which endpoints exist and to choose among them without a shared list. Conclusion: the interfaces are usable for wiring; behaviour is not yet measured.

--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/UsageAggregator.java
@@ -0,0 +1,161 @@
+package io.sapphirestack.core.membership;
+
+import io.sapphirestack.core.id.InstanceId;
+import io.sapphirestack.core.limit.AccountUsage;
+import io.sapphirestack.core.limit.UsageTable;
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntPredicate;
+
+/**
+ * Sums account usage over the dissemination tree. Each instance sends to each neighbour the sum
+ * over all instances on its own side of that edge, so traffic depends on the number of accounts and
+ * not on the number of instances.
+ *
+ * <p>Sums are accepted only from neighbours with the same tree, because a cycle between different
+ * views would count use repeatedly. Not thread-safe.
+ */
+public final class UsageAggregator {
+    /** Accounts far below their limit are sent this rarely, in milliseconds. */
+    public static final long RELAXED_INTERVAL_MS = 2_000;
+
+    /** Accounts near their limit are sent this often, in milliseconds. */
+    public static final long URGENT_INTERVAL_MS = 200;
+
+    private final Map<InstanceId, Map<Integer, AccountUsage>> received = new HashMap<>();
+    private final Map<InstanceId, Map<Integer, Sent>> sent = new HashMap<>();
+
+    private record Sent(byte[] entry, long atMs) {}
+
+    /**
+     * Drops what is known from and to former neighbours; called when the tree changes.
+     *
+     * @param neighbours neighbours in the new tree
+     */
+    public void retainNeighbours(Set<InstanceId> neighbours) {
+        received.keySet().retainAll(neighbours);
+        sent.clear();
+    }
+
+    /**
+     * Forgets what was sent to a neighbour, so that the next message carries everything; called
+     * when a message may have been lost.
+     *
+     * @param neighbour neighbour
+     */
+    public void resend(InstanceId neighbour) {
+        sent.remove(neighbour);
+    }
+
+    /**
+     * Takes the sums of a neighbour with the same tree.
+     *
+     * @param neighbour neighbour
+     * @param encoded changed entries
+     * @throws IllegalArgumentException if the bytes are not usage entries
+     */
+    public void receive(InstanceId neighbour, byte[] encoded) {
+        Map<Integer, AccountUsage> entries =
+                received.computeIfAbsent(neighbour, id -> new HashMap<>());
+        ByteBuffer in = ByteBuffer.wrap(encoded);
+        try {
+            while (in.hasRemaining()) {
+                int handle = in.getInt();
+                AccountUsage usage =
+                        new AccountUsage(
+                                Short.toUnsignedInt(in.getShort()),
+                                decodeRate(in.getShort()),
+                                decodeRate(in.getShort()));
+                if (usage.equals(AccountUsage.NONE)) {
+                    entries.remove(handle);
+                } else {
+                    entries.put(handle, usage);
+                }
+            }
+        } catch (BufferUnderflowException e) {
+            throw new IllegalArgumentException("truncated usage of " + encoded.length, e);
+        }
+    }
+
+    /** Returns the use at all other instances. */
+    public UsageTable others() {
+        return new UsageTable(sumExcept(null));
+    }
+
+    /**
+     * Encodes the entries that a neighbour has to get now: 10 bytes each.
+     *
+     * @param neighbour neighbour
+     * @param local use at this instance
+     * @param urgent tells by short name whether an account is near its limit
+     * @param nowMs current time on the monotonic clock
+     * @return changed entries
+     */
+    public byte[] encodeFor(
+            InstanceId neighbour, UsageTable local, IntPredicate urgent, long nowMs) {
+        Map<Integer, AccountUsage> sums = sumExcept(neighbour);
+        local.byHandle().forEach((h, usage) -> sums.merge(h, usage, AccountUsage::plus));
+        Map<Integer, Sent> before = sent.computeIfAbsent(neighbour, id -> new HashMap<>());
+        Set<Integer> handles = new HashSet<>(sums.keySet());
+        handles.addAll(before.keySet());
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        for (int handle : handles) {
+            Sent last = before.get(handle);
+            long intervalMs = urgent.test(handle) ? URGENT_INTERVAL_MS : RELAXED_INTERVAL_MS;
+            if (last != null && nowMs - last.atMs() < intervalMs) {
+                continue;
+            }
+            AccountUsage usage = sums.getOrDefault(handle, AccountUsage.NONE);
+            byte[] entry = encode(handle, usage);
+            if (last == null || !java.util.Arrays.equals(last.entry(), entry)) {
+                bytes.writeBytes(entry);
+                before.put(handle, new Sent(entry, nowMs));
+            }
+            if (!sums.containsKey(handle)) {
+                before.remove(handle);
+            }
+        }
+        return bytes.toByteArray();
+    }
+
+    private Map<Integer, AccountUsage> sumExcept(InstanceId excluded) {
+        Map<Integer, AccountUsage> sums = new HashMap<>();
+        received.forEach(
+                (neighbour, entries) -> {
+                    if (!neighbour.equals(excluded)) {
+                        entries.forEach((h, usage) -> sums.merge(h, usage, AccountUsage::plus));
+                    }
+                });
+        return sums;
+    }
+
+    private static byte[] encode(int handle, AccountUsage usage) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(10);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeInt(handle);
+            out.writeShort(Math.min(0xffff, Math.max(0, usage.concurrent())));
+            out.writeShort(encodeRate(usage.admittedPerS()));
+            out.writeShort(encodeRate(usage.demandPerS()));
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory does not fail", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Tenths per second up to 6,553; higher rates are cut off. */
+    private static int encodeRate(double perS) {
+        return (int) Math.min(0xffff, Math.round(Math.max(0, perS) * 10));
+    }
+
+    private static double decodeRate(short encoded) {
+        return Short.toUnsignedInt(encoded) / 10.0;
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/ExpectedCostRoutingStrategy.java
@@ -0,0 +1,221 @@
+package io.sapphirestack.core.routing;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.membership.ReportTable;
+import io.sapphirestack.core.time.MillisClock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.IntSupplier;
+import java.util.function.IntUnaryOperator;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+
+/**
+ * Chooses by expected cost in milliseconds: queue wait plus prefill of the part of the prompt that
+ * is not cached. Thread-safe and lock-free if its collaborators are.
+ */
+public final class ExpectedCostRoutingStrategy implements RoutingStrategy {
+    /**
+     * Weight of own placements on an endpoint as evidence of placements by other instances on the
+     * same endpoint; the rest is assumed to be spread evenly. Own placements alone would be too few
+     * to estimate from, and an even spread alone would ignore that all instances see the same load.
+     */
+    private static final double OWN_EVIDENCE = 0.5;
+
+    private final Supplier<EndpointTable> endpoints;
+    private final PrefixIndex prefixes;
+    private final InFlightTracker inFlight;
+    private final Predicate<EndpointId> stopping;
+    private final IntSupplier liveInstances;
+    private final String ownZone;
+    private final RoutingParameters parameters;
+    private final IntUnaryOperator random;
+    private final MillisClock clock;
+
+    /**
+     * Creates a strategy.
+     *
+     * @param endpoints returns the published table
+     * @param prefixes prefix index
+     * @param inFlight own placements
+     * @param stopping tells whether an endpoint has a planned stop
+     * @param liveInstances returns the number of instances that decide independently
+     * @param ownZone availability zone of this instance
+     * @param parameters estimates
+     * @param random returns a random number from 0 to below its argument; thread-safe and different
+     *     on each instance, otherwise all would choose alike
+     * @param clock monotonic clock
+     */
+    public ExpectedCostRoutingStrategy(
+            Supplier<EndpointTable> endpoints,
+            PrefixIndex prefixes,
+            InFlightTracker inFlight,
+            Predicate<EndpointId> stopping,
+            IntSupplier liveInstances,
+            String ownZone,
+            RoutingParameters parameters,
+            IntUnaryOperator random,
+            MillisClock clock) {
+        this.endpoints = Objects.requireNonNull(endpoints, "endpoints");
+        this.prefixes = Objects.requireNonNull(prefixes, "prefixes");
+        this.inFlight = Objects.requireNonNull(inFlight, "inFlight");
+        this.stopping = Objects.requireNonNull(stopping, "stopping");
+        this.liveInstances = Objects.requireNonNull(liveInstances, "liveInstances");
+        this.ownZone = Objects.requireNonNull(ownZone, "ownZone");
+        this.parameters = Objects.requireNonNull(parameters, "parameters");
+        this.random = Objects.requireNonNull(random, "random");
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    @Override
+    public Optional<EndpointState> choose(RoutingRequest request) {
+        List<EndpointState> candidates = candidates(request);
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        Scored scored = score(request, candidates);
+        int chosen = -1;
+        if (request.prefix().size() > 0 && !scored.seen) {
+            chosen = preferredForNewPrefix(request, candidates, scored);
+        }
+        if (chosen < 0) {
+            chosen = betterOfTwo(scored.costMs);
+        }
+        EndpointState endpoint = candidates.get(chosen);
+        prefixes.recordPlacement(endpoint.id(), endpoint.epochMs(), request.prefix());
+        return Optional.of(endpoint);
+    }
+
+    /** Returns endpoints that were heard recently, or the suspects if there is no other. */
+    private List<EndpointState> candidates(RoutingRequest request) {
+        long nowMs = clock.nowMs();
+        List<EndpointState> fresh = new ArrayList<>();
+        List<EndpointState> suspects = new ArrayList<>();
+        for (EndpointState endpoint : endpoints.get().ofService(request.service())) {
+            long silentMs = nowMs - endpoint.heardAtMs();
+            if (silentMs >= ReportTable.REMOVE_AFTER_MS
+                    || request.excluded().contains(endpoint.id())
+                    || stopping.test(endpoint.id())
+                    || request.pin().isPresent()
+                            && !endpoint.models().contains(request.pin().get())) {
+                continue;
+            }
+            (silentMs >= ReportTable.SUSPECT_AFTER_MS ? suspects : fresh).add(endpoint);
+        }
+        return fresh.isEmpty() ? suspects : fresh;
+    }
+
+    /** Estimates for the candidates, by position. */
+    private static final class Scored {
+        private final double[] load;
+        private final double[] costMs;
+        private double meanUse;
+        private boolean seen;
+
+        Scored(int size) {
+            this.load = new double[size];
+            this.costMs = new double[size];
+        }
+    }
+
+    private Scored score(RoutingRequest request, List<EndpointState> candidates) {
+        int size = candidates.size();
+        Scored scored = new Scored(size);
+        double[] own = new double[size];
+        double ownSum = 0;
+        for (int i = 0; i < size; i++) {
+            EndpointState endpoint = candidates.get(i);
+            own[i] = inFlight.startedSince(endpoint.id(), endpoint.heardAtMs());
+            ownSum += own[i];
+        }
+        double others = Math.max(0, liveInstances.getAsInt() - 1);
+        double slotMs =
+                request.kind() == WorkKind.GENERATION
+                        ? parameters.generationMs()
+                        : parameters.callMs();
+        double useSum = 0;
+        for (int i = 0; i < size; i++) {
+            EndpointState endpoint = candidates.get(i);
+            double unseen =
+                    own[i] + others * (OWN_EVIDENCE * own[i] + (1 - OWN_EVIDENCE) * ownSum / size);
+            double load = endpoint.load().running() + endpoint.load().queued() + unseen;
+            int slots = slotsOf(endpoint);
+            double waitMs =
+                    load < slots
+                            ? parameters.batchingMs() * load / slots
+                            : parameters.batchingMs() + (load - slots + 1) / slots * slotMs;
+            int cached = prefixes.cachedBlocks(endpoint.id(), endpoint.epochMs(), request.prefix());
+            scored.seen |= cached > 0;
+            scored.load[i] = load;
+            useSum += load / slots;
+            scored.costMs[i] =
+                    waitMs
+                            + (request.prefix().size() - cached) * parameters.prefillMsPerBlock()
+                            + (endpoint.availabilityZone().equals(ownZone)
+                                    ? 0
+                                    : parameters.otherZoneMs());
+        }
+        scored.meanUse = useSum / size;
+        return scored;
+    }
+
+    private int slotsOf(EndpointState endpoint) {
+        int slots = endpoint.load().slots();
+        return slots > 0 ? slots : parameters.defaultSlots();
+    }
+
+    /**
+     * Returns the first endpoint in rendezvous order whose load is within the bound. All instances
+     * compute the same order, so the first requests with a new prefix meet at one endpoint.
+     */
+    private int preferredForNewPrefix(
+            RoutingRequest request, List<EndpointState> candidates, Scored scored) {
+        int best = -1;
+        long bestHash = 0;
+        for (int i = 0; i < candidates.size(); i++) {
+            EndpointState endpoint = candidates.get(i);
+            // One place is always allowed, otherwise an idle service would have no preferred one.
+            double bound = Math.max(1, parameters.loadBound() * scored.meanUse * slotsOf(endpoint));
+            if (scored.load[i] > bound) {
+                continue;
+            }
+            long hash =
+                    Hashing.xxh3_64()
+                            .hashStream()
+                            .putString(request.account().value())
+                            .putLong(request.prefix().hash(0))
+                            .putString(endpoint.id().value())
+                            .getAsLong();
+            if (best < 0 || Long.compareUnsigned(hash, bestHash) > 0) {
+                best = i;
+                bestHash = hash;
+            }
+        }
+        return best;
+    }
+
+    /** Takes the cheaper of two random ones among the nearly cheapest. */
+    private int betterOfTwo(double[] costMs) {
+        double lowest = Double.POSITIVE_INFINITY;
+        for (double cost : costMs) {
+            lowest = Math.min(lowest, cost);
+        }
+        int[] pool = new int[costMs.length];
+        int size = 0;
+        for (int i = 0; i < costMs.length; i++) {
+            if (costMs[i] <= lowest + parameters.toleranceMs()) {
+                pool[size++] = i;
+            }
+        }
+        int first = random.applyAsInt(size);
+        if (size == 1) {
+            return pool[first];
+        }
+        int second = random.applyAsInt(size - 1);
+        second = second >= first ? second + 1 : second;
+        return costMs[pool[second]] < costMs[pool[first]] ? pool[second] : pool[first];
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/StopRecords.java
@@ -0,0 +1,51 @@
+package io.sapphirestack.core.routing;
+
+import io.sapphirestack.core.control.ControlView;
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.record.StopTarget;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+/**
+ * Tells which endpoints have a planned stop. Thread-safe and lock-free; the names are extracted
+ * once per published view, because the request path asks for every endpoint.
+ */
+public final class StopRecords implements Predicate<EndpointId> {
+    private static final String KIND = "stop";
+
+    private final Supplier<ControlView> control;
+    private volatile Extract extract = new Extract(ControlView.EMPTY, Set.of());
+
+    private record Extract(ControlView view, Set<String> endpoints) {}
+
+    /**
+     * Creates a predicate.
+     *
+     * @param control returns the published view
+     */
+    public StopRecords(Supplier<ControlView> control) {
+        this.control = Objects.requireNonNull(control, "control");
+    }
+
+    @Override
+    public boolean test(EndpointId id) {
+        ControlView view = control.get();
+        Extract current = extract;
+        if (current.view() != view) {
+            String prefix = StopTarget.ENDPOINT.namePrefix();
+            current =
+                    new Extract(
+                            view,
+                            view.records().keySet().stream()
+                                    .filter(key -> key.kind().equals(KIND))
+                                    .filter(key -> key.name().startsWith(prefix))
+                                    .map(key -> key.name().substring(prefix.length()))
+                                    .collect(Collectors.toUnmodifiableSet()));
+            extract = current;
+        }
+        return current.endpoints().contains(id.value());
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
@@ -0,0 +1,374 @@
+package io.sapphirestack.runtime.endpoint;
+
+import io.sapphirestack.core.blackboard.BlackboardPart;
+import io.sapphirestack.core.control.ControlView;
+import io.sapphirestack.core.control.InstanceInfo;
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.id.InstanceId;
+import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.limit.UsageTable;
+import io.sapphirestack.core.membership.CacheEvent;
+import io.sapphirestack.core.membership.EndpointReport;
+import io.sapphirestack.core.membership.SpreadTree;
+import io.sapphirestack.core.membership.UsageAggregator;
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.transport.PeerHandlerRegistry;
+import io.sapphirestack.runtime.transport.PeerTransport;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntPredicate;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.jboss.logging.Logger;
+
+/**
+ * Passes endpoint reports and account usage on to the neighbours in the dissemination tree.
+ * Thread-safe. {@link #tick()} does all periodic work and is called every {@link #BATCH_MS}.
+ */
+public final class SpreadService implements AutoCloseable {
+    /** Time between two batches to a neighbour, in milliseconds. */
+    public static final long BATCH_MS = 100;
+
+    /** Time between two anti-entropy exchanges with a neighbour, in milliseconds. */
+    public static final long EXCHANGE_MS = 10_000;
+
+    /**
+     * Most cache events per batch and neighbour. The index tolerates gaps, and events are what
+     * would otherwise exceed the traffic budget when many new prompts arrive.
+     */
+    public static final int MAX_CACHE_EVENTS = 64;
+
+    private static final long CALL_TIMEOUT_MS = 1_000;
+    private static final Logger LOG = Logger.getLogger(SpreadService.class);
+
+    private final PeerTransport transport;
+    private final BlackboardPart<ControlView> control;
+    private final BlackboardPart<Optional<InstanceRef>> self;
+    private final EndpointRegistry registry;
+    private final BlackboardPart<UsageTable> usage;
+    private final Supplier<UsageTable> localUsage;
+    private final IntPredicate urgentAccount;
+    private final int fanOut;
+    private final MillisClock clock;
+
+    private final Object lock = new Object();
+    private final UsageAggregator aggregator = new UsageAggregator();
+    private final Map<InstanceId, Neighbour> neighbours = new HashMap<>();
+    private Set<InstanceInfo> treeMembers = Set.of();
+    private InstanceId own;
+    private SpreadTree tree = new SpreadTree(List.of(), 1);
+    private ScheduledFuture<?> schedule;
+
+    /**
+     * Creates a service and makes it the spreader of the registry.
+     *
+     * @param transport sends to the neighbours
+     * @param control published membership
+     * @param self current incarnation
+     * @param registry merges reports
+     * @param usage part that this service owns: use at all other instances
+     * @param localUsage returns the use at this instance
+     * @param urgentAccount tells by short name whether an account is near its limit
+     * @param fanOut number of children in the tree
+     * @param clock monotonic clock
+     */
+    public SpreadService(
+            PeerTransport transport,
+            BlackboardPart<ControlView> control,
+            BlackboardPart<Optional<InstanceRef>> self,
+            EndpointRegistry registry,
+            BlackboardPart<UsageTable> usage,
+            Supplier<UsageTable> localUsage,
+            IntPredicate urgentAccount,
+            int fanOut,
+            MillisClock clock) {
+        this.transport = Objects.requireNonNull(transport, "transport");
+        this.control = Objects.requireNonNull(control, "control");
+        this.self = Objects.requireNonNull(self, "self");
+        this.registry = Objects.requireNonNull(registry, "registry");
+        this.usage = Objects.requireNonNull(usage, "usage");
+        this.localUsage = Objects.requireNonNull(localUsage, "localUsage");
+        this.urgentAccount = Objects.requireNonNull(urgentAccount, "urgentAccount");
+        this.fanOut = fanOut;
+        this.clock = Objects.requireNonNull(clock, "clock");
+        registry.setSpreader(report -> enqueue(List.of(report), null));
+    }
+
+    /** What is kept per neighbour. */
+    private static final class Neighbour {
+        private final InstanceInfo info;
+        private final Map<EndpointId, EndpointReport> pending = new LinkedHashMap<>();
+        private final Map<EndpointId, Long> pendingSinceMs = new HashMap<>();
+        private long nextExchangeMs;
+        private boolean exchanging;
+
+        Neighbour(InstanceInfo info, long nextExchangeMs) {
+            this.info = info;
+            this.nextExchangeMs = nextExchangeMs;
+        }
+    }
+
+    /**
+     * Registers the handlers; called before the transport starts.
+     *
+     * @param handlers registry of the transport
+     */
+    public void register(PeerHandlerRegistry handlers) {
+        handlers.register(
+                SpreadBatch.class,
+                request -> CompletableFuture.completedFuture(handleBatch(request)));
+        handlers.register(
+                SpreadExchange.class,
+                request -> CompletableFuture.completedFuture(handleExchange(request)));
+    }
+
+    /**
+     * Starts the periodic work.
+     *
+     * @param scheduler runs {@link #tick()} and {@link EndpointRegistry#tick()}
+     */
+    public void start(ScheduledExecutorService scheduler) {
+        synchronized (lock) {
+            if (schedule != null) {
+                throw new IllegalStateException("already started");
+            }
+            schedule =
+                    scheduler.scheduleWithFixedDelay(
+                            this::tickSafely, BATCH_MS, BATCH_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void close() {
+        synchronized (lock) {
+            if (schedule != null) {
+                schedule.cancel(false);
+            }
+        }
+    }
+
+    /** An exception would end the schedule, so it is logged instead. */
+    private void tickSafely() {
+        try {
+            tick();
+        } catch (RuntimeException e) {
+            LOG.error("SAP3010 Dissemination step failed", e);
+        }
+    }
+
+    /** Publishes the endpoint table, sends batches, and starts exchanges that are due. */
+    public void tick() {
+        registry.tick();
+        UsageTable local = localUsage.get();
+        List<Runnable> sends = new ArrayList<>();
+        synchronized (lock) {
+            updateTree();
+            long nowMs = clock.nowMs();
+            for (Neighbour neighbour : neighbours.values()) {
+                SpreadBatch batch = nextBatch(neighbour, local, nowMs);
+                if (batch.r().length > 0 || batch.u().length > 0) {
+                    sends.add(() -> send(neighbour, batch));
+                }
+                if (nowMs >= neighbour.nextExchangeMs && !neighbour.exchanging) {
+                    neighbour.exchanging = true;
+                    neighbour.nextExchangeMs = nowMs + EXCHANGE_MS;
+                    sends.add(() -> startExchange(neighbour));
+                }
+            }
+            usage.publish(aggregator.others());
+        }
+        sends.forEach(Runnable::run);
+    }
+
+    /** Follows the membership; a new neighbour gets a full exchange at once. */
+    private void updateTree() {
+        Set<InstanceInfo> members = Set.copyOf(control.read().instances().values());
+        InstanceId id = self.read().map(InstanceRef::id).orElse(null);
+        if (members.equals(treeMembers) && Objects.equals(id, own)) {
+            return;
+        }
+        treeMembers = members;
+        own = id;
+        tree = new SpreadTree(members, fanOut);
+        Map<InstanceId, InstanceInfo> next =
+                id == null
+                        ? Map.of()
+                        : tree.neighbours(id).stream()
+                                .collect(Collectors.toMap(i -> i.ref().id(), i -> i));
+        neighbours.values().removeIf(n -> !n.info.equals(next.get(n.info.ref().id())));
+        long nowMs = clock.nowMs();
+        next.forEach((n, info) -> neighbours.computeIfAbsent(n, x -> new Neighbour(info, nowMs)));
+        aggregator.retainNeighbours(neighbours.keySet());
+        LOG.debugf("SAP3011 Tree of %d instances, own neighbours %s", tree.size(), next.keySet());
+    }
+
+    private SpreadBatch nextBatch(Neighbour neighbour, UsageTable local, long nowMs) {
+        List<EndpointReport> reports = new ArrayList<>(neighbour.pending.size());
+        int events = 0;
+        for (EndpointReport report : neighbour.pending.values()) {
+            EndpointReport out = withEvents(report, MAX_CACHE_EVENTS - events);
+            events += out.cacheEvents().size();
+            long queuedMs = nowMs - neighbour.pendingSinceMs.get(report.id());
+            reports.add(out.withAge(report.ageMs() + queuedMs));
+        }
+        neighbour.pending.clear();
+        neighbour.pendingSinceMs.clear();
+        return new SpreadBatch(
+                own,
+                tree.fingerprint(),
+                registry.encode(reports),
+                aggregator.encodeFor(neighbour.info.ref().id(), local, urgentAccount, nowMs));
+    }
+
+    /** Keeps the last events, which describe the present state of the cache best. */
+    private static EndpointReport withEvents(EndpointReport report, int limit) {
+        List<CacheEvent> all = report.cacheEvents();
+        if (all.size() <= limit) {
+            return report;
+        }
+        return new EndpointReport(
+                report.id(),
+                report.epochMs(),
+                report.sequence(),
+                report.detailsSequence(),
+                report.ageMs(),
+                report.load(),
+                report.details(),
+                all.subList(all.size() - limit, all.size()));
+    }
+
+    private void send(Neighbour neighbour, SpreadBatch batch) {
+        transport
+                .call(neighbour.info.peerAddress(), batch, CALL_TIMEOUT_MS)
+                .whenComplete(
+                        (ack, failure) -> {
+                            if (failure != null) {
+                                recordLoss(neighbour);
+                            } else if (!ack.m().isEmpty()) {
+                                enqueueTo(neighbour, registry.fullReports(ack.m()));
+                            }
+                        });
+    }
+
+    /** After a lost batch the neighbour may lack details, so an exchange is due at once. */
+    private void recordLoss(Neighbour neighbour) {
+        synchronized (lock) {
+            neighbour.nextExchangeMs = Math.min(neighbour.nextExchangeMs, clock.nowMs());
+            aggregator.resend(neighbour.info.ref().id());
+        }
+    }
+
+    private SpreadBatch.Ack handleBatch(SpreadBatch batch) {
+        EndpointRegistry.Merged merged = registry.mergeBatch(batch.r());
+        enqueue(merged.newer(), batch.s());
+        synchronized (lock) {
+            if (batch.t() == tree.fingerprint() && neighbours.containsKey(batch.s())) {
+                aggregator.receive(batch.s(), batch.u());
+            }
+        }
+        return new SpreadBatch.Ack(merged.missing());
+    }
+
+    /** Queues reports for all neighbours except the one that they came from. */
+    private void enqueue(Collection<EndpointReport> reports, InstanceId from) {
+        if (reports.isEmpty()) {
+            return;
+        }
+        synchronized (lock) {
+            for (Neighbour neighbour : neighbours.values()) {
+                if (!neighbour.info.ref().id().equals(from)) {
+                    reports.forEach(report -> queue(neighbour, report));
+                }
+            }
+        }
+    }
+
+    private void enqueueTo(Neighbour neighbour, Collection<EndpointReport> reports) {
+        synchronized (lock) {
+            reports.forEach(report -> queue(neighbour, report));
+        }
+    }
+
+    /** Replaces an older report of the same endpoint but keeps its details and cache events. */
+    private void queue(Neighbour neighbour, EndpointReport report) {
+        EndpointReport old = neighbour.pending.get(report.id());
+        EndpointReport next = old == null ? report : PendingReports.combine(old, report);
+        if (next != old) {
+            neighbour.pending.put(report.id(), next);
+            neighbour.pendingSinceMs.put(report.id(), clock.nowMs());
+        }
+    }
+
+    private void startExchange(Neighbour neighbour) {
+        exchange(neighbour, new SpreadExchange(own, registry.digest(), Map.of(), false))
+                .thenCompose(
+                        reply ->
+                                reply.equal()
+                                        ? CompletableFuture.completedFuture(reply)
+                                        : exchange(
+                                                neighbour,
+                                                new SpreadExchange(
+                                                        own,
+                                                        registry.digest(),
+                                                        registry.digestEntries(),
+                                                        true)))
+                .whenComplete((reply, failure) -> endExchange(neighbour, reply, failure));
+    }
+
+    private CompletableFuture<SpreadExchange.Reply> exchange(
+            Neighbour neighbour, SpreadExchange request) {
+        return transport.call(neighbour.info.peerAddress(), request, CALL_TIMEOUT_MS);
+    }
+
+    private void endExchange(Neighbour neighbour, SpreadExchange.Reply reply, Throwable failure) {
+        synchronized (lock) {
+            neighbour.exchanging = false;
+            if (failure != null) {
+                // Repeated soon, because a lost exchange leaves the neighbour without details.
+                neighbour.nextExchangeMs =
+                        Math.min(neighbour.nextExchangeMs, clock.nowMs() + CALL_TIMEOUT_MS);
+                return;
+            }
+        }
+        enqueue(registry.mergeBatch(reply.reports()).newer(), neighbour.info.ref().id());
+        enqueueTo(neighbour, registry.fullReports(reply.wanted()));
+    }
+
+    private SpreadExchange.Reply handleExchange(SpreadExchange request) {
+        if (request.digest() == registry.digest()) {
+            return new SpreadExchange.Reply(true, new byte[0], List.of());
+        }
+        if (!request.complete()) {
+            return new SpreadExchange.Reply(false, new byte[0], List.of());
+        }
+        Map<Integer, Long> mine = registry.digestEntries();
+        List<Integer> lacking = new ArrayList<>();
+        mine.forEach(
+                (handle, sequence) -> {
+                    if (request.entries().getOrDefault(handle, -1L) < sequence) {
+                        lacking.add(handle);
+                    }
+                });
+        List<Integer> wanted = new ArrayList<>();
+        request.entries()
+                .forEach(
+                        (handle, sequence) -> {
+                            if (mine.getOrDefault(handle, -1L) < sequence) {
+                                wanted.add(handle);
+                            }
+                        });
+        return new SpreadExchange.Reply(
+                false, registry.encode(registry.fullReports(lacking)), wanted);
+    }
+}
