Add the TCP transport between instances

Instances need request and reply over one connection per peer and direction (section 5 of the design).

--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics in Prometheus text format and numbered log events. */
+package io.sapphirestack.runtime.metrics;
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/HandlerLanes.java
@@ -0,0 +1,67 @@
+package io.sapphirestack.runtime.transport;
+
+import io.sapphirestack.runtime.metrics.EventLog;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+
+/**
+ * Runs the handlers of one connection: requests of one type in the order of their arrival, requests
+ * of different types independently, so that a handler that blocks holds up its own type at most.
+ * Thread-safe.
+ */
+final class HandlerLanes {
+
+    private static final EventLog LOG = EventLog.of(HandlerLanes.class);
+
+    private final Executor executor;
+    private final Map<Integer, Lane> lanes = new ConcurrentHashMap<>();
+
+    HandlerLanes(Executor executor) {
+        this.executor = executor;
+    }
+
+    void execute(int typeCode, Runnable task) {
+        lanes.computeIfAbsent(typeCode, code -> new Lane()).add(task);
+    }
+
+    private final class Lane implements Runnable {
+
+        private final Queue<Runnable> tasks = new ArrayDeque<>();
+        private boolean running;
+
+        void add(Runnable task) {
+            synchronized (tasks) {
+                tasks.add(task);
+                if (running) {
+                    return;
+                }
+                running = true;
+            }
+            executor.execute(this);
+        }
+
+        @Override
+        public void run() {
+            Runnable task = next();
+            while (task != null) {
+                try {
+                    task.run();
+                } catch (RuntimeException | Error e) {
+                    LOG.error("SAP1104", e, "A peer request could not be handled");
+                }
+                task = next();
+            }
+        }
+
+        private Runnable next() {
+            synchronized (tasks) {
+                Runnable task = tasks.poll();
+                running = task != null;
+                return task;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/InboundChannel.java
@@ -0,0 +1,174 @@
+package io.sapphirestack.runtime.transport;
+
+import io.sapphirestack.core.error.SapphireException;
+import io.sapphirestack.runtime.metrics.EventLog;
+import java.io.IOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.CompletionException;
+
+/** Connection on which another instance sends requests. */
+final class InboundChannel extends PeerChannel {
+
+    private static final EventLog LOG = EventLog.of(InboundChannel.class);
+
+    // Requests being handled and replies being sent may hold this many bytes before no more
+    // requests of the peer are read.
+    private static final long MAX_HELD_BYTES = 32L * 1024 * 1024;
+    private static final long IDLE_CLOSE_MS = 180_000;
+
+    private final PeerHandshake handshake;
+    private final PeerHandlers handlers;
+    private final HandlerLanes lanes;
+    private final byte[] serverNonce;
+    private final Runnable afterClose;
+    private boolean ready;
+    private long handledBytes;
+
+    private InboundChannel(
+            PeerEventLoop loop,
+            SocketChannel channel,
+            String peer,
+            PeerHandshake handshake,
+            PeerHandlers handlers,
+            Runnable afterClose) {
+        super(loop, peer, channel);
+        this.handshake = handshake;
+        this.handlers = handlers;
+        this.lanes = new HandlerLanes(loop.handlers());
+        this.serverNonce = handshake.newNonce();
+        this.afterClose = afterClose;
+    }
+
+    static void accept(
+            PeerEventLoop loop,
+            SocketChannel socket,
+            PeerHandshake handshake,
+            PeerHandlers handlers,
+            Runnable afterClose)
+            throws IOException {
+        String peer = String.valueOf(socket.getRemoteAddress()).replaceFirst("^.*/", "");
+        InboundChannel channel =
+                new InboundChannel(loop, socket, peer, handshake, handlers, afterClose);
+        channel.register(SelectionKey.OP_READ);
+        channel.send(new OutgoingFrame(handshake.hello(channel.serverNonce)));
+        loop.schedule(
+                loop.nowMs() + OutboundChannel.CONNECT_TIMEOUT_MS, channel::checkAuthenticated);
+        loop.schedule(loop.nowMs() + IDLE_CLOSE_MS, channel::checkIdle);
+    }
+
+    private void checkAuthenticated() {
+        if (!ready) {
+            onFailure(new IOException("no handshake in time"));
+        }
+    }
+
+    private void checkIdle() {
+        if (isClosed()) {
+            return;
+        }
+        long idleMs = loop().nowMs() - lastReceivedMs();
+        if (idleMs >= IDLE_CLOSE_MS && handledBytes == 0) {
+            onFailure(new IOException("the connection was idle"));
+        } else {
+            loop().schedule(loop().nowMs() + IDLE_CLOSE_MS, this::checkIdle);
+        }
+    }
+
+    @Override
+    void onFrame(byte[] payload) throws TransportException {
+        if (!ready) {
+            byte[] clientNonce = handshake.readProof(payload, serverNonce, peer());
+            ready = true;
+            authenticated();
+            send(new OutgoingFrame(handshake.counterProof(serverNonce, clientNonce)));
+            return;
+        }
+        PeerFrame frame = PeerCodec.decode(payload, peer());
+        if (frame.kind() != PeerFrame.REQUEST) {
+            throw new TransportException(
+                    "decode", peer(), "a reply came where requests are expected", true, null);
+        }
+        handledBytes += frame.body().length;
+        checkHeldBytes();
+        lanes.execute(frame.typeCode(), () -> serve(frame));
+    }
+
+    // Runs on a handler thread.
+    private void serve(PeerFrame frame) {
+        handlers.handle(frame, peer())
+                .whenComplete(
+                        (reply, failure) -> {
+                            byte[] answer = encodeAnswer(frame, reply, failure);
+                            loop().execute(() -> answered(frame, answer));
+                        });
+    }
+
+    private byte[] encodeAnswer(PeerFrame frame, Object reply, Throwable failure) {
+        try {
+            if (failure == null && reply != null) {
+                return PeerCodec.SHARED.encode(
+                        PeerFrame.REPLY, frame.requestId(), frame.typeCode(), reply, peer());
+            }
+            return encodeError(frame, failure);
+        } catch (TransportException e) {
+            try {
+                return encodeError(frame, e);
+            } catch (TransportException unexpected) {
+                throw new IllegalStateException("an error body always fits a frame", unexpected);
+            }
+        }
+    }
+
+    private byte[] encodeError(PeerFrame frame, Throwable failure) throws TransportException {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null
+                        ? failure.getCause()
+                        : failure;
+        PeerError error =
+                cause instanceof SapphireException
+                        ? new PeerError(
+                                ((SapphireException) cause).step(),
+                                ((SapphireException) cause).peer(),
+                                shorten(cause.getMessage()))
+                        : new PeerError(
+                                "handle",
+                                "local",
+                                cause == null ? "the handler had no reply" : shorten("" + cause));
+        return PeerCodec.SHARED.encode(
+                PeerFrame.ERROR, frame.requestId(), frame.typeCode(), error, peer());
+    }
+
+    private static String shorten(String message) {
+        return message.length() <= 1_000 ? message : message.substring(0, 1_000);
+    }
+
+    private void answered(PeerFrame frame, byte[] answer) {
+        handledBytes -= frame.body().length;
+        send(new OutgoingFrame(answer));
+        checkHeldBytes();
+    }
+
+    private void checkHeldBytes() {
+        pauseReading(handledBytes + outgoingBytes() > MAX_HELD_BYTES);
+    }
+
+    @Override
+    void onWritten() {
+        checkHeldBytes();
+    }
+
+    @Override
+    void onClosed(Exception cause) {
+        if (cause instanceof TransportException) {
+            LOG.warn(
+                    "SAP1103",
+                    "A peer connection is refused",
+                    "peer",
+                    peer(),
+                    "reason",
+                    cause.getMessage());
+        }
+        afterClose.run();
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/OutboundChannel.java
@@ -0,0 +1,167 @@
+package io.sapphirestack.runtime.transport;
+
+import io.sapphirestack.runtime.metrics.EventLog;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Connection on which this instance sends requests. Runs on the thread of the event loop. */
+final class OutboundChannel extends PeerChannel {
+
+    /** Time for connect and handshake; further attempts follow with later calls. */
+    static final long CONNECT_TIMEOUT_MS = 1_000;
+
+    private static final EventLog LOG = EventLog.of(OutboundChannel.class);
+
+    // A connection without calls is closed, so that a replaced instance leaves nothing behind.
+    private static final long IDLE_CLOSE_MS = 60_000;
+    private static final long MAX_QUEUED_BYTES = 32L * 1024 * 1024;
+
+    private final PeerHandshake handshake;
+    private final byte[] clientNonce;
+    private final Map<Long, PendingCall<?>> pending = new HashMap<>();
+    private final List<PendingCall<?>> beforeReady = new ArrayList<>();
+    private byte[] serverNonce;
+    private boolean ready;
+    private long lastUsedMs;
+
+    private OutboundChannel(
+            PeerEventLoop loop, String peer, SocketChannel channel, PeerHandshake handshake) {
+        super(loop, peer, channel);
+        this.handshake = handshake;
+        this.clientNonce = handshake.newNonce();
+        this.lastUsedMs = loop.nowMs();
+    }
+
+    /** Request that waits for its reply. */
+    record PendingCall<R>(
+            long requestId,
+            OutgoingFrame frame,
+            Class<R> replyType,
+            CompletableFuture<R> result,
+            long queuedAtMs) {}
+
+    static OutboundChannel connect(PeerEventLoop loop, String address, PeerHandshake handshake)
+            throws IOException {
+        InetSocketAddress target = PeerAddresses.parse(address);
+        SocketChannel socket = SocketChannel.open();
+        try {
+            OutboundChannel channel = new OutboundChannel(loop, address, socket, handshake);
+            socket.configureBlocking(false);
+            boolean connected = socket.connect(target);
+            channel.register(connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
+            loop.schedule(loop.nowMs() + CONNECT_TIMEOUT_MS, channel::checkReady);
+            loop.schedule(loop.nowMs() + IDLE_CLOSE_MS, channel::checkIdle);
+            return channel;
+        } catch (IOException | RuntimeException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    void call(PendingCall<?> call, long timeoutMs) {
+        if (outgoingBytes() > MAX_QUEUED_BYTES) {
+            fail(call, "send", "too many bytes wait to be sent to this peer", false, null);
+            return;
+        }
+        lastUsedMs = loop().nowMs();
+        pending.put(call.requestId(), call);
+        if (ready) {
+            send(call.frame());
+        } else {
+            beforeReady.add(call);
+        }
+        loop().schedule(loop().nowMs() + timeoutMs, () -> expire(call, timeoutMs));
+    }
+
+    private void expire(PendingCall<?> call, long timeoutMs) {
+        if (pending.remove(call.requestId()) == null) {
+            return;
+        }
+        boolean sent = !beforeReady.remove(call) && !withdraw(call.frame());
+        fail(call, "await-reply", "no reply within " + timeoutMs + " ms", sent, null);
+        // A connection can stay open and pass nothing. If not one byte came since the request was
+        // queued, this one is given up and the next call opens a new one.
+        if (lastReceivedMs() < call.queuedAtMs()) {
+            LOG.warn("SAP1102", "A silent peer connection is closed", "peer", peer());
+            onFailure(new IOException("the connection passed no data for " + timeoutMs + " ms"));
+        }
+    }
+
+    private void checkReady() {
+        if (!ready) {
+            onFailure(new IOException("not connected within " + CONNECT_TIMEOUT_MS + " ms"));
+        }
+    }
+
+    private void checkIdle() {
+        if (isClosed()) {
+            return;
+        }
+        if (pending.isEmpty() && loop().nowMs() - lastUsedMs >= IDLE_CLOSE_MS) {
+            onFailure(new IOException("the connection was idle"));
+        } else {
+            loop().schedule(loop().nowMs() + IDLE_CLOSE_MS, this::checkIdle);
+        }
+    }
+
+    @Override
+    void onFrame(byte[] payload) throws TransportException {
+        if (ready) {
+            onReply(PeerCodec.decode(payload, peer()));
+        } else if (serverNonce == null) {
+            serverNonce = handshake.readHello(payload, peer());
+            send(new OutgoingFrame(handshake.proof(serverNonce, clientNonce)));
+        } else {
+            handshake.checkCounterProof(payload, serverNonce, clientNonce, peer());
+            ready = true;
+            authenticated();
+            beforeReady.forEach(call -> send(call.frame()));
+            beforeReady.clear();
+        }
+    }
+
+    private void onReply(PeerFrame frame) throws TransportException {
+        if (frame.kind() == PeerFrame.REQUEST) {
+            throw new TransportException(
+                    "decode", peer(), "a request came where replies are expected", true, null);
+        }
+        PendingCall<?> call = pending.remove(frame.requestId());
+        if (call != null) {
+            loop().handlers().execute(() -> PeerReplies.complete(call, frame, peer()));
+        }
+    }
+
+    @Override
+    void onWritten() {
+        // Nothing waits for the end of a write.
+    }
+
+    @Override
+    void onClosed(Exception cause) {
+        List<PendingCall<?>> failed = new ArrayList<>(pending.values());
+        pending.clear();
+        beforeReady.clear();
+        String step = ready ? "connection" : "connect";
+        for (PendingCall<?> call : failed) {
+            fail(call, step, cause.getMessage(), call.frame().started(), cause);
+        }
+    }
+
+    private void fail(
+            PendingCall<?> call, String step, String message, boolean sent, Exception cause) {
+        loop().handlers()
+                .execute(
+                        () ->
+                                call.result()
+                                        .completeExceptionally(
+                                                new TransportException(
+                                                        step, peer(), message, sent, cause)));
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
@@ -0,0 +1,221 @@
+package io.sapphirestack.runtime.transport;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.Optional;
+
+/**
+ * One connection to another instance, driven by the event loop. All methods run on the thread of
+ * the loop. Frames that are queued while a write is in progress leave together with the next write.
+ */
+abstract class PeerChannel implements PeerEventLoop.ReadyHandler {
+
+    private final PeerEventLoop loop;
+    private final String peer;
+    private final SocketChannel channel;
+    private final FrameDecoder decoder;
+    private final Deque<OutgoingFrame> outgoing = new ArrayDeque<>();
+    private SelectionKey key;
+    private long outgoingBytes;
+    private long lastReceivedMs;
+    private boolean readPaused;
+    private boolean closed;
+
+    PeerChannel(PeerEventLoop loop, String peer, SocketChannel channel) {
+        this.loop = loop;
+        this.peer = peer;
+        this.channel = channel;
+        this.decoder = new FrameDecoder(peer, PeerHandshake.MAX_FRAME_BYTES);
+        this.lastReceivedMs = loop.nowMs();
+    }
+
+    /** Frame that waits to be written, or is partly written. */
+    static final class OutgoingFrame {
+        private final byte[] bytes;
+        private int written;
+
+        OutgoingFrame(byte[] bytes) {
+            this.bytes = bytes;
+        }
+
+        boolean started() {
+            return written > 0;
+        }
+    }
+
+    final void register(int operations) throws IOException {
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        channel.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
+        key = loop.register(channel, operations, this);
+    }
+
+    final PeerEventLoop loop() {
+        return loop;
+    }
+
+    final String peer() {
+        return peer;
+    }
+
+    final boolean isClosed() {
+        return closed;
+    }
+
+    final long lastReceivedMs() {
+        return lastReceivedMs;
+    }
+
+    final long outgoingBytes() {
+        return outgoingBytes;
+    }
+
+    /** Lifts the frame limit once the peer has proved that it knows the cluster key. */
+    final void authenticated() {
+        decoder.limit(PeerFrame.MAX_BYTES);
+    }
+
+    final void send(OutgoingFrame frame) {
+        if (closed) {
+            return;
+        }
+        outgoing.add(frame);
+        outgoingBytes += frame.bytes.length;
+        loop.flushLater(this);
+    }
+
+    /** Takes back a frame of which no byte was written; returns whether that was possible. */
+    final boolean withdraw(OutgoingFrame frame) {
+        if (frame.started() || !outgoing.remove(frame)) {
+            return false;
+        }
+        outgoingBytes -= frame.bytes.length;
+        return true;
+    }
+
+    final void pauseReading(boolean pause) {
+        if (readPaused != pause && !closed) {
+            readPaused = pause;
+            updateInterest();
+        }
+    }
+
+    @Override
+    public final void onReady(SelectionKey selected) throws IOException {
+        if (selected.isConnectable() && channel.finishConnect()) {
+            updateInterest();
+        }
+        if (selected.isValid() && selected.isReadable()) {
+            read();
+        }
+        if (selected.isValid() && selected.isWritable()) {
+            flush();
+        }
+    }
+
+    private void read() throws IOException {
+        ByteBuffer buffer = loop.buffer();
+        int count = channel.read(buffer);
+        if (count < 0) {
+            throw new EOFException("the peer closed the connection");
+        }
+        lastReceivedMs = loop.nowMs();
+        buffer.flip();
+        try {
+            Optional<byte[]> frame = decoder.next(buffer);
+            while (frame.isPresent() && !closed) {
+                onFrame(frame.get());
+                frame = decoder.next(buffer);
+            }
+        } catch (TransportException e) {
+            onFailure(e);
+        }
+    }
+
+    /** Writes as much as the socket takes. */
+    final void flush() {
+        if (closed || !channel.isConnected()) {
+            return;
+        }
+        try {
+            while (!outgoing.isEmpty()) {
+                ByteBuffer buffer = loop.buffer();
+                fill(buffer);
+                buffer.flip();
+                int wanted = buffer.remaining();
+                int count = channel.write(buffer);
+                consume(count);
+                if (count < wanted) {
+                    break;
+                }
+            }
+            updateInterest();
+            onWritten();
+        } catch (IOException e) {
+            onFailure(e);
+        }
+    }
+
+    private void fill(ByteBuffer buffer) {
+        Iterator<OutgoingFrame> frames = outgoing.iterator();
+        while (frames.hasNext() && buffer.hasRemaining()) {
+            OutgoingFrame frame = frames.next();
+            int count = Math.min(buffer.remaining(), frame.bytes.length - frame.written);
+            buffer.put(frame.bytes, frame.written, count);
+        }
+    }
+
+    private void consume(int count) {
+        int left = count;
+        while (left > 0) {
+            OutgoingFrame frame = outgoing.peek();
+            int part = Math.min(left, frame.bytes.length - frame.written);
+            frame.written += part;
+            left -= part;
+            outgoingBytes -= part;
+            if (frame.written == frame.bytes.length) {
+                outgoing.remove();
+            }
+        }
+    }
+
+    private void updateInterest() {
+        if (key != null && key.isValid() && channel.isConnected()) {
+            key.interestOps(
+                    (readPaused ? 0 : SelectionKey.OP_READ)
+                            | (outgoing.isEmpty() ? 0 : SelectionKey.OP_WRITE));
+        }
+    }
+
+    @Override
+    public final void onFailure(Exception cause) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        if (key != null) {
+            key.cancel();
+        }
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // The connection is given up anyway, and its calls get the first cause.
+        }
+        onClosed(cause);
+    }
+
+    /** Takes a complete frame. */
+    abstract void onFrame(byte[] payload) throws TransportException;
+
+    /** Called after bytes were written. */
+    abstract void onWritten();
+
+    /** Called once when the connection is closed. */
+    abstract void onClosed(Exception cause);
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerEventLoop.java
@@ -0,0 +1,201 @@
+package io.sapphirestack.runtime.transport;
+
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.metrics.EventLog;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * The one thread that reads and writes all connections to other instances, and the pool on which
+ * their requests and replies are handled. The thread never runs code of handlers, so a handler that
+ * blocks delays no other request.
+ */
+public final class PeerEventLoop implements Closeable {
+
+    private static final EventLog LOG = EventLog.of(PeerEventLoop.class);
+    private static final int BUFFER_BYTES = 64 * 1024;
+    private static final int MAX_HANDLER_THREADS = 64;
+    private static final long CLOSE_WAIT_MS = 2_000;
+
+    private final MillisClock clock = MillisClock.monotonic();
+    private final Selector selector;
+    private final Thread thread;
+    private final ThreadPoolExecutor handlers;
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final AtomicBoolean wakeUpPending = new AtomicBoolean();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final Set<PeerChannel> toFlush = new LinkedHashSet<>();
+    private final ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER_BYTES);
+    private volatile boolean closed;
+    private volatile boolean terminated;
+
+    /**
+     * Starts the thread.
+     *
+     * @param name prefix of the thread names
+     */
+    public PeerEventLoop(String name) {
+        try {
+            this.selector = Selector.open();
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot open a selector", e);
+        }
+        this.handlers = WorkerPool.create(name + "-handler", MAX_HANDLER_THREADS);
+        this.thread = new Thread(this::run, name + "-io");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Receives the events of one channel, on the thread of the loop. */
+    interface ReadyHandler {
+        void onReady(SelectionKey key) throws IOException;
+
+        void onFailure(Exception cause);
+    }
+
+    long nowMs() {
+        return clock.nowMs();
+    }
+
+    Executor handlers() {
+        return handlers;
+    }
+
+    /**
+     * Runs a task on the thread of the loop. After {@link #close()} it runs on the calling thread,
+     * where every use of a channel fails, so that no call is left without an answer.
+     */
+    void execute(Runnable task) {
+        tasks.add(task);
+        if (terminated) {
+            runTasks();
+            return;
+        }
+        if (Thread.currentThread() != thread && wakeUpPending.compareAndSet(false, true)) {
+            selector.wakeup();
+        }
+    }
+
+    /** Runs a task at a time; only on the thread of the loop. */
+    void schedule(long atMs, Runnable task) {
+        timers.add(new Timer(atMs, task));
+    }
+
+    /** Registers a channel; only on the thread of the loop. */
+    SelectionKey register(SelectableChannel channel, int operations, ReadyHandler handler)
+            throws IOException {
+        channel.configureBlocking(false);
+        return channel.register(selector, operations, handler);
+    }
+
+    /** Flushes a channel once at the end of the current round, with all that was queued by then. */
+    void flushLater(PeerChannel channel) {
+        toFlush.add(channel);
+    }
+
+    /** Returns the buffer for the current read or write; only on the thread of the loop. */
+    ByteBuffer buffer() {
+        buffer.clear();
+        return buffer;
+    }
+
+    private void run() {
+        while (!closed) {
+            try {
+                runRound();
+            } catch (IOException | RuntimeException e) {
+                LOG.error("SAP1101", e, "The loop of peer connections failed in one round");
+            }
+        }
+        selector.keys().forEach(key -> ((ReadyHandler) key.attachment()).onFailure(closedCause()));
+        try {
+            selector.close();
+        } catch (IOException e) {
+            LOG.error("SAP1101", e, "The loop of peer connections failed in one round");
+        }
+        terminated = true;
+        runTasks();
+    }
+
+    private void runRound() throws IOException {
+        if (tasks.isEmpty() && toFlush.isEmpty()) {
+            selector.select(waitMs());
+        } else {
+            selector.selectNow();
+        }
+        wakeUpPending.set(false);
+        for (SelectionKey key : selector.selectedKeys()) {
+            dispatch(key);
+        }
+        selector.selectedKeys().clear();
+        runTasks();
+        long now = clock.nowMs();
+        while (!timers.isEmpty() && timers.peek().atMs() <= now) {
+            timers.poll().task().run();
+        }
+        Queue<PeerChannel> flushing = new ArrayDeque<>(toFlush);
+        toFlush.clear();
+        flushing.forEach(PeerChannel::flush);
+    }
+
+    private synchronized void runTasks() {
+        Runnable task = tasks.poll();
+        while (task != null) {
+            task.run();
+            task = tasks.poll();
+        }
+    }
+
+    private static void dispatch(SelectionKey key) {
+        ReadyHandler handler = (ReadyHandler) key.attachment();
+        try {
+            if (key.isValid()) {
+                handler.onReady(key);
+            }
+        } catch (IOException | RuntimeException e) {
+            handler.onFailure(e);
+        }
+    }
+
+    // Selecting with 0 would wait without a limit.
+    private long waitMs() {
+        return timers.isEmpty() ? 0 : Math.max(1, timers.peek().atMs() - clock.nowMs());
+    }
+
+    private static IOException closedCause() {
+        return new IOException("this instance closes its connections");
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        selector.wakeup();
+        try {
+            thread.join(CLOSE_WAIT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        handlers.shutdown();
+    }
+
+    private record Timer(long atMs, Runnable task) implements Comparable<Timer> {
+        @Override
+        public int compareTo(Timer other) {
+            return Long.compare(atMs, other.atMs);
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerHandlers.java
@@ -0,0 +1,74 @@
+package io.sapphirestack.runtime.transport;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Handlers by message code, shared by the server and by calls to the own address. Thread-safe. */
+public final class PeerHandlers implements PeerHandlerRegistry {
+
+    private final Map<Integer, Entry<?, ?>> byCode = new ConcurrentHashMap<>();
+
+    private record Entry<Q extends PeerRequest<R>, R>(Class<Q> type, PeerHandler<Q, R> handler) {
+
+        CompletableFuture<R> handle(Object request) {
+            CompletableFuture<R> reply = handler.handle(type.cast(request));
+            return Objects.requireNonNull(reply, "handler returned no future");
+        }
+
+        CompletableFuture<R> decodeAndHandle(PeerFrame frame, String peer)
+                throws TransportException {
+            return handle(PeerCodec.SHARED.read(frame.body(), type, peer));
+        }
+    }
+
+    @Override
+    public <Q extends PeerRequest<R>, R> void register(Class<Q> type, PeerHandler<Q, R> handler) {
+        Objects.requireNonNull(handler, "handler");
+        PeerMessage message = annotationOf(type);
+        if (byCode.putIfAbsent(message.code(), new Entry<>(type, handler)) != null) {
+            throw new IllegalStateException(
+                    "message code " + message.code() + " is registered already: " + type);
+        }
+    }
+
+    static PeerMessage annotationOf(Class<?> type) {
+        PeerMessage message = type.getAnnotation(PeerMessage.class);
+        if (message == null) {
+            throw new IllegalArgumentException(type + " is not annotated with PeerMessage");
+        }
+        return message;
+    }
+
+    /** Serves a request that came in a frame. */
+    CompletableFuture<?> handle(PeerFrame frame, String peer) {
+        Entry<?, ?> entry = byCode.get(frame.typeCode());
+        if (entry == null) {
+            return CompletableFuture.failedFuture(noHandler(frame.typeCode(), peer));
+        }
+        try {
+            return entry.decodeAndHandle(frame, peer);
+        } catch (TransportException | RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    /** Serves a request of this instance to itself. */
+    CompletableFuture<?> handleLocal(Object request, int code, String address) {
+        Entry<?, ?> entry = byCode.get(code);
+        if (entry == null) {
+            return CompletableFuture.failedFuture(noHandler(code, address));
+        }
+        try {
+            return entry.handle(request);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private static TransportException noHandler(int code, String peer) {
+        return new TransportException(
+                "dispatch", peer, "no handler for message code " + code, false, null);
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerHandshake.java
@@ -0,0 +1,106 @@
+package io.sapphirestack.runtime.transport;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.Arrays;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Mutual proof that both sides know the cluster key, without sending it.
+ *
+ * <p>The accepting side sends a header and a nonce S. The connecting side answers with a nonce C
+ * and HMAC-SHA-256 over the label {@code client}, S and C. The accepting side answers with
+ * HMAC-SHA-256 over the label {@code server}, C and S. The labels keep one side's proof from being
+ * sent back to it. Each of the three parts is one frame. Immutable and thread-safe.
+ */
+final class PeerHandshake {
+
+    /** Largest frame of a handshake, so that an unknown peer cannot make us allocate more. */
+    static final int MAX_FRAME_BYTES = 256;
+
+    private static final byte[] HEADER = "SAPPHIRE1".getBytes(StandardCharsets.US_ASCII);
+    private static final int NONCE_BYTES = 32;
+    private static final int MAC_BYTES = 32;
+
+    private final SecretKeySpec key;
+    private final SecureRandom random = new SecureRandom();
+
+    PeerHandshake(String clusterKey) {
+        this.key = new SecretKeySpec(clusterKey.getBytes(StandardCharsets.UTF_8), "HmacSHA256");
+    }
+
+    byte[] newNonce() {
+        byte[] nonce = new byte[NONCE_BYTES];
+        random.nextBytes(nonce);
+        return nonce;
+    }
+
+    byte[] hello(byte[] serverNonce) {
+        return frame(HEADER, serverNonce);
+    }
+
+    byte[] readHello(byte[] payload, String peer) throws TransportException {
+        if (payload.length != HEADER.length + NONCE_BYTES
+                || !Arrays.equals(payload, 0, HEADER.length, HEADER, 0, HEADER.length)) {
+            throw refused(peer, "the peer does not speak this protocol");
+        }
+        return Arrays.copyOfRange(payload, HEADER.length, payload.length);
+    }
+
+    byte[] proof(byte[] serverNonce, byte[] clientNonce) {
+        return frame(clientNonce, mac("client", serverNonce, clientNonce));
+    }
+
+    /** Checks the connecting side's proof and returns its nonce. */
+    byte[] readProof(byte[] payload, byte[] serverNonce, String peer) throws TransportException {
+        if (payload.length != NONCE_BYTES + MAC_BYTES) {
+            throw refused(peer, "the proof has the wrong length");
+        }
+        byte[] clientNonce = Arrays.copyOf(payload, NONCE_BYTES);
+        byte[] given = Arrays.copyOfRange(payload, NONCE_BYTES, payload.length);
+        if (!MessageDigest.isEqual(given, mac("client", serverNonce, clientNonce))) {
+            throw refused(peer, "the peer uses another cluster key");
+        }
+        return clientNonce;
+    }
+
+    byte[] counterProof(byte[] serverNonce, byte[] clientNonce) {
+        return frame(mac("server", clientNonce, serverNonce));
+    }
+
+    void checkCounterProof(byte[] payload, byte[] serverNonce, byte[] clientNonce, String peer)
+            throws TransportException {
+        if (!MessageDigest.isEqual(payload, mac("server", clientNonce, serverNonce))) {
+            throw refused(peer, "the peer uses another cluster key");
+        }
+    }
+
+    private byte[] mac(String label, byte[] first, byte[] second) {
+        try {
+            Mac mac = Mac.getInstance("HmacSHA256");
+            mac.init(key);
+            mac.update(label.getBytes(StandardCharsets.US_ASCII));
+            mac.update(first);
+            return mac.doFinal(second);
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("every Java platform has HmacSHA256", e);
+        }
+    }
+
+    private static byte[] frame(byte[]... parts) {
+        int length = Arrays.stream(parts).mapToInt(part -> part.length).sum();
+        ByteBuffer frame = ByteBuffer.allocate(Integer.BYTES + length).putInt(length);
+        for (byte[] part : parts) {
+            frame.put(part);
+        }
+        return frame.array();
+    }
+
+    private static TransportException refused(String peer, String message) {
+        return new TransportException("handshake", peer, message, false, null);
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/TcpPeerServer.java
@@ -0,0 +1,100 @@
+package io.sapphirestack.runtime.transport;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.Objects;
+
+/** Accepts connections of other instances and serves their requests. Thread-safe. */
+public final class TcpPeerServer implements Closeable {
+
+    // Every instance of the largest planned fleet may hold one connection, with room for
+    // reconnects.
+    private static final int MAX_CONNECTIONS = 1_024;
+
+    private final PeerEventLoop loop;
+    private final PeerHandshake handshake;
+    private final PeerHandlers handlers;
+    private final ServerSocketChannel server;
+    private int connections;
+
+    /**
+     * Binds the address; requests are served after {@link #start()}.
+     *
+     * @param loop thread for all peer connections
+     * @param listenAddress {@code host:port}; port 0 chooses a free one
+     * @param clusterKey key that all instances share
+     * @param handlers handlers of requests
+     * @throws TransportException if the address cannot be bound
+     */
+    public TcpPeerServer(
+            PeerEventLoop loop, String listenAddress, String clusterKey, PeerHandlers handlers)
+            throws TransportException {
+        this.loop = Objects.requireNonNull(loop, "loop");
+        this.handshake = new PeerHandshake(clusterKey);
+        this.handlers = Objects.requireNonNull(handlers, "handlers");
+        try {
+            this.server = ServerSocketChannel.open();
+            server.bind(PeerAddresses.parse(listenAddress));
+        } catch (IOException e) {
+            throw new TransportException(
+                    "bind", listenAddress, "cannot listen: " + e.getMessage(), false, e);
+        }
+    }
+
+    /** Returns the address that the server listens on, as {@code host:port}. */
+    public String address() {
+        try {
+            InetSocketAddress local = (InetSocketAddress) server.getLocalAddress();
+            return local.getAddress().getHostAddress() + ":" + local.getPort();
+        } catch (IOException e) {
+            throw new IllegalStateException("the server is closed", e);
+        }
+    }
+
+    /** Starts to accept connections. */
+    public void start() {
+        loop.execute(
+                () -> {
+                    try {
+                        loop.register(server, SelectionKey.OP_ACCEPT, new Acceptor());
+                    } catch (IOException e) {
+                        throw new IllegalStateException("cannot accept connections", e);
+                    }
+                });
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot close the listening socket", e);
+        }
+    }
+
+    private final class Acceptor implements PeerEventLoop.ReadyHandler {
+
+        @Override
+        public void onReady(SelectionKey key) throws IOException {
+            SocketChannel socket = server.accept();
+            if (socket == null) {
+                return;
+            }
+            if (connections >= MAX_CONNECTIONS) {
+                socket.close();
+                return;
+            }
+            connections++;
+            InboundChannel.accept(loop, socket, handshake, handlers, () -> connections--);
+        }
+
+        @Override
+        public void onFailure(Exception cause) {
+            // A failed accept concerns one connection; the socket goes on listening.
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/transport/PeerCodecTests.java
@@ -0,0 +1,181 @@
+package io.sapphirestack.runtime.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.sapphirestack.core.control.ControlCommand;
+import io.sapphirestack.core.id.AccountId;
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.id.OrderKey;
+import io.sapphirestack.core.record.ModelPin;
+import io.sapphirestack.core.record.RecordKey;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Guards against content that is lost on the wire, and against input that stalls the decoder. */
+class PeerCodecTests {
+
+    record AllKinds(
+            boolean flag,
+            int number,
+            long big,
+            double ratio,
+            String text,
+            byte[] bytes,
+            Optional<String> present,
+            Optional<String> absent,
+            EndpointId id,
+            List<ModelPin> pins,
+            Map<EndpointId, Integer> counts,
+            Map<RecordKey, Long> revisions,
+            JsonNode tree,
+            ControlCommand command) {}
+
+    record Wide(int kept, String added, List<Integer> addedToo) {}
+
+    record Narrow(int kept) {}
+
+    @Test
+    void everyKindOfFieldSurvivesARoundTrip() throws Exception {
+        byte[] bytes = {0, -1, 127, -128};
+        OrderKey key = new OrderKey(AccountId.of("a1"), "ledger", "k 1");
+        AllKinds sent =
+                new AllKinds(
+                        true,
+                        -7,
+                        Long.MIN_VALUE,
+                        0.1,
+                        "\u00e4\uD83D\uDE00\n",
+                        bytes,
+                        Optional.of("x"),
+                        Optional.empty(),
+                        EndpointId.of("e1"),
+                        List.of(new ModelPin("m", "", "1")),
+                        Map.of(EndpointId.of("e2"), 3),
+                        Map.of(RecordKey.parse("service/s"), 9L),
+                        new ObjectMapper()
+                                .readTree(
+                                        "{\"a\":[1,2.5,null,true,{\"b\":\"c\"}],\"n\":12345678901}"),
+                        new ControlCommand.CompleteOrder(key, "n", 200, "text/plain", bytes));
+
+        AllKinds read = roundTrip(sent, AllKinds.class);
+
+        assertThat(read).usingRecursiveComparison().ignoringFields("tree").isEqualTo(sent);
+        assertThat(read.tree()).isEqualTo(sent.tree());
+    }
+
+    @Test
+    void byteArraysTravelAsBinary() throws Exception {
+        byte[] bytes = new byte[300];
+        ControlCommand.CompleteOrder order =
+                new ControlCommand.CompleteOrder(
+                        new OrderKey(AccountId.of("a"), "s", "k"), "n", 200, "t", bytes);
+
+        byte[] frame = PeerCodec.SHARED.encode(0, 1, 1, order, "p");
+
+        assertThat(new String(frame, java.nio.charset.StandardCharsets.ISO_8859_1))
+                .contains("\u00c5\u0001\u002c" + "\0".repeat(300));
+    }
+
+    @Test
+    void unknownFieldsOfANewerVersionAreIgnored() throws Exception {
+        assertThat(roundTrip(new Wide(5, "new", List.of(1, 2)), Narrow.class))
+                .isEqualTo(new Narrow(5));
+    }
+
+    @Test
+    void messageAboveTheFrameLimitIsRefusedBeforeItIsSent() {
+        byte[] body = new byte[PeerFrame.MAX_BYTES];
+        assertThatThrownBy(() -> PeerCodec.SHARED.encode(0, 1, 1, Map.of("b", body), "10.0.0.1:1"))
+                .isInstanceOfSatisfying(
+                        TransportException.class,
+                        e -> {
+                            assertThat(e.sent()).isFalse();
+                            assertThat(e.step()).isEqualTo("encode");
+                            assertThat(e.peer()).isEqualTo("10.0.0.1:1");
+                        });
+    }
+
+    @Test
+    void lengthAboveTheLimitIsRefusedBeforeMemoryIsReserved() {
+        ByteBuffer source = ByteBuffer.allocate(4).putInt(PeerFrame.MAX_BYTES + 1).flip();
+        assertThatThrownBy(() -> new FrameDecoder("p", PeerFrame.MAX_BYTES).next(source))
+                .isInstanceOf(TransportException.class)
+                .hasMessageContaining("allowed are 1 to");
+    }
+
+    @Property
+    void framesComeOutWholeHoweverTheStreamIsCut(
+            @ForAll @Size(max = 8) List<@Size(min = 1, max = 40) byte[]> frames,
+            @ForAll @Size(min = 1, max = 8)
+                    List<@net.jqwik.api.constraints.IntRange(min = 1, max = 20) Integer> cuts)
+            throws Exception {
+        ByteBuffer all = ByteBuffer.allocate(8 * 44);
+        frames.forEach(frame -> all.putInt(frame.length).put(frame));
+        byte[] stream = Arrays.copyOf(all.array(), all.position());
+        FrameDecoder decoder = new FrameDecoder("p", 64);
+        List<byte[]> read = new ArrayList<>();
+        int at = 0;
+        for (int i = 0; at < stream.length; i++) {
+            int count = Math.min(cuts.get(i % cuts.size()), stream.length - at);
+            drain(decoder, ByteBuffer.wrap(stream, at, count), read);
+            at += count;
+        }
+        assertThat(read).usingRecursiveComparison().isEqualTo(frames);
+    }
+
+    @Property
+    void garbageEndsInAClearErrorOrIsConsumed(@ForAll @Size(max = 300) byte[] garbage) {
+        FrameDecoder decoder = new FrameDecoder("peer:1", 64);
+        ByteBuffer source = ByteBuffer.wrap(garbage);
+        List<byte[]> frames = new ArrayList<>();
+        try {
+            drain(decoder, source, frames);
+            assertThat(source.hasRemaining()).isFalse();
+        } catch (TransportException e) {
+            assertThat(e.step()).isEqualTo("decode");
+            assertThat(e.peer()).isEqualTo("peer:1");
+        }
+        frames.forEach(PeerCodecTests::decodeOrFailClearly);
+        decodeOrFailClearly(garbage);
+    }
+
+    private static void decodeOrFailClearly(byte[] payload) {
+        try {
+            PeerFrame frame = PeerCodec.decode(payload, "peer:1");
+            PeerCodec.SHARED.read(frame.body(), AllKinds.class, "peer:1");
+        } catch (TransportException e) {
+            assertThat(e.step()).isEqualTo("decode");
+        }
+    }
+
+    private static void drain(FrameDecoder decoder, ByteBuffer source, List<byte[]> frames)
+            throws TransportException {
+        Optional<byte[]> frame = decoder.next(source);
+        while (frame.isPresent()) {
+            frames.add(frame.get());
+            frame = decoder.next(source);
+        }
+    }
+
+    private static <T> T roundTrip(Object sent, Class<T> type) throws TransportException {
+        byte[] encoded = PeerCodec.SHARED.encode(PeerFrame.REPLY, 77, 12, sent, "p");
+        byte[] payload = Arrays.copyOfRange(encoded, 4, encoded.length);
+        assertThat(ByteBuffer.wrap(encoded).getInt()).isEqualTo(payload.length);
+        PeerFrame frame = PeerCodec.decode(payload, "p");
+        assertThat(frame.kind()).isEqualTo(PeerFrame.REPLY);
+        assertThat(frame.requestId()).isEqualTo(77);
+        assertThat(frame.typeCode()).isEqualTo(12);
+        return PeerCodec.SHARED.read(frame.body(), type, "p");
+    }
+}
