Close a silent peer connection when nothing came since the request was queued

Cause: the test of a silent connection needed 60 s, because handshake bytes that arrived after the call was made counted as life of the connection. Change: each call remembers the number of reads when its frame is queued.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
@@ -25,6 +25,7 @@
     private SelectionKey key;
     private long outgoingBytes;
     private long lastReceivedMs;
+    private long reads;
     private boolean readPaused;
     private boolean closed;
 
@@ -72,6 +73,11 @@
         return lastReceivedMs;
     }
 
+    /** Returns how often data was received. */
+    final long reads() {
+        return reads;
+    }
+
     final long outgoingBytes() {
         return outgoingBytes;
     }
@@ -126,6 +132,7 @@
             throw new EOFException("the peer closed the connection");
         }
         lastReceivedMs = loop.nowMs();
+        reads++;
         buffer.flip();
         try {
             Optional<byte[]> frame = decoder.next(buffer);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/TcpPeerTransport.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/TcpPeerTransport.java
@@ -65,8 +65,7 @@
                             requestId,
                             new PeerChannel.OutgoingFrame(frame),
                             replyType(message),
-                            result,
-                            loop.nowMs());
+                            result);
             loop.execute(() -> send(address, call, timeoutMs));
         } catch (TransportException e) {
             result.completeExceptionally(e);
