--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/transport/TcpPeerTransportTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/transport/TcpPeerTransportTests.java
@@ -99,6 +99,8 @@
 
         CompletableFuture<EchoReply> late = transport.call(server.address(), new Held("late"), 200);
         CompletableFuture<EchoReply> release = held.poll(LONG_MS, TimeUnit.MILLISECONDS);
+        // Data that arrives meanwhile keeps the connection, so that the late reply comes on it.
+        assertThat(echo("before")).isEqualTo("before");
         TransportException failure = failureOf(late);
         assertThat(failure.step()).isEqualTo("await-reply");
         assertThat(failure.peer()).isEqualTo(server.address());
