Add the stand-ins for engine, plain service and weight store

Cause: every other part needs endpoints that follow docs/api.md 3.1 to 3.3 and whose output and run counts can be checked. Change: module sapphire-standins with the subcommands engine, service and weights, started by bin/standin. Engine output is a fixed function of prompt, seed and offset (ExpectedOutput). Faults are injected by flags or POST /faults. Closing a streaming HttpCore response reads the rest of the body and hung a test for ten minutes on an endless stream, so clients here close the connection instead. A first version of AddressBookTests expected an unresolvable address after the list had expired; the book rightly falls back to the seed, and the test now checks that the list was fetched again. Conclusion: the stand-ins can serve as endpoints for the other modules.

--- /dev/null
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a plain service with idempotent reads and non-idempotent orders. */
+package io.sapphirestack.standins.service;
--- /dev/null
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/support/HttpConnection.java
@@ -0,0 +1,133 @@
+package io.sapphirestack.standins.support;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.Map;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * One HTTP/1.1 connection of a client. Not thread-safe, except that {@link #close()} may be called
+ * from any thread to abort.
+ */
+public final class HttpConnection implements Closeable {
+
+    private final String address;
+    private final DefaultBHttpClientConnection connection;
+
+    private HttpConnection(String address, DefaultBHttpClientConnection connection) {
+        this.address = address;
+        this.connection = connection;
+    }
+
+    /**
+     * Connects.
+     *
+     * @param address {@code host:port}
+     * @param connectTimeoutMs timeout of the connect in milliseconds, positive
+     * @param readTimeoutMs longest silence while receiving, in milliseconds, positive
+     * @return an open connection
+     * @throws IOException if the connection could not be made
+     */
+    public static HttpConnection open(String address, int connectTimeoutMs, long readTimeoutMs)
+            throws IOException {
+        int colon = address.lastIndexOf(':');
+        Socket socket = new Socket();
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(
+                    new InetSocketAddress(
+                            address.substring(0, colon),
+                            Integer.parseInt(address.substring(colon + 1))),
+                    connectTimeoutMs);
+            DefaultBHttpClientConnection connection =
+                    new DefaultBHttpClientConnection(Http1Config.DEFAULT);
+            connection.bind(socket);
+            connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMs));
+            return new HttpConnection(address, connection);
+        } catch (IOException | RuntimeException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Sends a request and receives the head of the response. Closing the response reads the rest of
+     * its body, which never ends for a long stream; close this connection instead.
+     *
+     * @param method HTTP method
+     * @param path path with query
+     * @param headers further header fields
+     * @param body JSON body, or {@code null} for none
+     * @return response whose entity streams from this connection
+     * @throws IOException if the exchange failed
+     */
+    public ClassicHttpResponse send(
+            String method, String path, Map<String, String> headers, byte[] body)
+            throws IOException {
+        BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
+        request.setHeader("Host", address);
+        headers.forEach(request::setHeader);
+        if (body != null) {
+            request.setEntity(new ByteArrayEntity(body, ContentType.APPLICATION_JSON));
+            request.setHeader("Content-Length", body.length);
+            request.setHeader("Content-Type", "application/json");
+        }
+        try {
+            return new HttpRequestExecutor().execute(request, connection, HttpCoreContext.create());
+        } catch (HttpException e) {
+            throw new IOException("malformed response from " + address, e);
+        }
+    }
+
+    /**
+     * Sends one request on a new connection and receives the whole answer.
+     *
+     * @param address {@code host:port}
+     * @param timeoutMs timeout of the connect and longest silence, in milliseconds
+     * @param method HTTP method
+     * @param path path with query
+     * @param headers further header fields
+     * @param body JSON body, or {@code null} for none
+     * @return the answer
+     * @throws IOException if the exchange failed
+     */
+    public static HttpAnswer call(
+            String address,
+            int timeoutMs,
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body)
+            throws IOException {
+        try (HttpConnection connection = open(address, timeoutMs, timeoutMs)) {
+            ClassicHttpResponse response = connection.send(method, path, headers, body);
+            byte[] content =
+                    response.getEntity() == null
+                            ? new byte[0]
+                            : EntityUtils.toByteArray(response.getEntity());
+            Map<String, String> fields = new java.util.TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+            for (org.apache.hc.core5.http.Header field : response.getHeaders()) {
+                fields.put(field.getName(), field.getValue());
+            }
+            return new HttpAnswer(response.getCode(), fields, content);
+        }
+    }
+
+    @Override
+    public void close() {
+        connection.close(CloseMode.IMMEDIATE);
+    }
+}
--- /dev/null
+++ b/sapphire-standins/src/test/java/io/sapphirestack/standins/support/AddressBookTests.java
@@ -0,0 +1,47 @@
+package io.sapphirestack.standins.support;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** Guards against clients that stay with a failed address or ignore the life of the list. */
+class AddressBookTests {
+
+    @Test
+    void listIsKeptForItsLifeAndFailedAddressesAreAvoided() throws IOException {
+        AtomicInteger fetches = new AtomicInteger();
+        AtomicLong nowMs = new AtomicLong(1_000);
+        try (StandInServer instance =
+                StandInServer.start(
+                        "127.0.0.1:0",
+                        (request, response, context) -> {
+                            fetches.incrementAndGet();
+                            Responses.json(
+                                    response,
+                                    200,
+                                    Map.of(
+                                            "ttlMs",
+                                            2_000,
+                                            "addresses",
+                                            List.of(entry("h1:1", "az1"), entry("h2:1", "az2"))));
+                        })) {
+            AddressBook book = new AddressBook(List.of(instance.address()), "az1", 1, nowMs::get);
+            assertThat(book.choose()).isEqualTo("h1:1");
+            book.failed("h1:1");
+            assertThat(book.choose()).isEqualTo("h2:1");
+            assertThat(fetches).hasValue(1);
+            nowMs.addAndGet(4_000);
+            book.choose();
+            assertThat(fetches).hasValue(2);
+        }
+    }
+
+    private static Map<String, Object> entry(String address, String availabilityZone) {
+        return Map.of("address", address, "availabilityZone", availabilityZone, "weight", 1);
+    }
+}
