--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
@@ -93,6 +93,9 @@
     }
 
     void learnerRequested(VoterMessage from) {
+        if (!from.clusterId().isEmpty() && !from.clusterId().equals(state.clusterId())) {
+            return;
+        }
         long now = state.clock.nowMs();
         if (!peers.containsKey(from.fromVoter())) {
             peers.put(
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationLog.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationLog.java
@@ -49,6 +49,12 @@
         return lastIndex() == 0;
     }
 
+    /** Tells whether a log with this end is at least as far as this log. */
+    boolean isCoveredBy(long otherLastIndex, long otherLastTerm) {
+        return otherLastTerm > lastTerm()
+                || otherLastTerm == lastTerm() && otherLastIndex >= lastIndex();
+    }
+
     /** Returns the term of an entry, or -1 if the entry is not in memory. */
     long termAt(long index) {
         if (index == baseIndex) {
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
@@ -108,9 +108,7 @@
             return;
         }
         if (message.message() instanceof LearnerRequest) {
-            if (leader != null
-                    && (message.clusterId().isEmpty()
-                            || message.clusterId().equals(state.clusterId()))) {
+            if (leader != null) {
                 leader.learnerRequested(message);
             }
             return;
@@ -177,7 +175,7 @@
     }
 
     /**
-     * Asks the most up-to-date active voter to take over the leadership.
+     * Asks the most up-to-date active voter to take over; returns whether there was one.
      *
      * @return whether a voter was asked
      */
@@ -244,6 +242,11 @@
         return Optional.ofNullable(leader).map(LeaderState::term);
     }
 
+    /** Returns whether this node leads and has committed an entry of its own term. */
+    public boolean hasCommittedInTerm() {
+        return leader != null && leader.hasCommitted();
+    }
+
     /** Returns the address of the leader as far as it is known, else an empty string. */
     public String leaderAddress() {
         return leader != null ? state.settings.address() : leaderAddress;
@@ -383,10 +386,7 @@
             reply(from, new VoteReply(request.preVote(), state.term(), false));
             return;
         }
-        boolean upToDate =
-                request.lastTerm() > state.log.lastTerm()
-                        || request.lastTerm() == state.log.lastTerm()
-                                && request.lastIndex() >= state.log.lastIndex();
+        boolean upToDate = state.log.isCoveredBy(request.lastIndex(), request.lastTerm());
         if (request.preVote()) {
             boolean granted = upToDate && request.term() > state.term();
             long term = granted ? request.term() : state.term();
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/DefaultLeaderLease.java
@@ -0,0 +1,41 @@
+package io.sapphirestack.runtime.control;
+
+import io.sapphirestack.core.replication.LeaderTerm;
+import io.sapphirestack.core.time.MillisClock;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+/** Leadership that the voter's thread publishes. */
+final class DefaultLeaderLease implements LeaderLease {
+
+    private final MillisClock clock;
+    private final AtomicReference<Optional<LeaderTerm>> term =
+            new AtomicReference<>(Optional.empty());
+    private final List<Consumer<Optional<LeaderTerm>>> listeners = new CopyOnWriteArrayList<>();
+
+    DefaultLeaderLease(MillisClock clock) {
+        this.clock = clock;
+    }
+
+    @Override
+    public Optional<LeaderTerm> current() {
+        return term.get().filter(value -> value.isValidAt(clock.nowMs()));
+    }
+
+    @Override
+    public void addListener(Consumer<Optional<LeaderTerm>> listener) {
+        listeners.add(Objects.requireNonNull(listener, "listener"));
+    }
+
+    /** Publishes a renewed lease; listeners hear only of another term. */
+    void publish(Optional<LeaderTerm> next) {
+        Optional<LeaderTerm> previous = term.getAndSet(next);
+        if (!previous.map(LeaderTerm::term).equals(next.map(LeaderTerm::term))) {
+            listeners.forEach(listener -> listener.accept(next));
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterCore.java
@@ -0,0 +1,147 @@
+package io.sapphirestack.runtime.control;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.sapphirestack.core.control.ControlCodec;
+import io.sapphirestack.core.control.ControlCommand;
+import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.control.ControlSnapshot;
+import io.sapphirestack.core.control.ControlState;
+import io.sapphirestack.core.control.StampedCommand;
+import io.sapphirestack.core.record.RecordSpecResolver;
+import io.sapphirestack.core.replication.ClusterMembership;
+import io.sapphirestack.core.replication.LogStore;
+import io.sapphirestack.core.replication.LogStoreException;
+import io.sapphirestack.core.replication.PersistBatch;
+import io.sapphirestack.core.replication.ReadResult;
+import io.sapphirestack.core.replication.ReplicationEntry;
+import io.sapphirestack.core.replication.ReplicationNode;
+import io.sapphirestack.core.replication.StoredSnapshot;
+import io.sapphirestack.core.replication.VoterMessage;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Connects the replicated log with its storage and the state machine. Used by the voter's thread
+ * only.
+ */
+final class VoterCore {
+
+    /** Bytes of commands after which the log is replaced by a snapshot, if that is not larger. */
+    private static final long MIN_SNAPSHOT_LOG_BYTES = 4 * 1024 * 1024;
+
+    private final ReplicationNode node;
+    private final LogStore store;
+    private final RecordSpecResolver resolver;
+    private final Executor snapshotExecutor;
+    private final Consumer<Runnable> voterThread;
+    private final Consumer<List<VoterMessage>> sender;
+    private final AppliedListener listener;
+    private final ControlCodec codec = new ControlCodec(new ObjectMapper(new MessagePackFactory()));
+    private final ControlState state = new ControlState();
+    private long logBytes;
+    private long lastSnapshotBytes;
+    private boolean snapshotRunning;
+
+    VoterCore(
+            ReplicationNode node,
+            LogStore store,
+            RecordSpecResolver resolver,
+            Executor snapshotExecutor,
+            Consumer<Runnable> voterThread,
+            Consumer<List<VoterMessage>> sender,
+            AppliedListener listener) {
+        this.node = node;
+        this.store = store;
+        this.resolver = resolver;
+        this.snapshotExecutor = snapshotExecutor;
+        this.voterThread = voterThread;
+        this.sender = sender;
+        this.listener = listener;
+    }
+
+    ReplicationNode node() {
+        return node;
+    }
+
+    ControlState state() {
+        return state;
+    }
+
+    OptionalLong propose(ControlCommand command) {
+        return node.propose(codec.encode(StampedCommand.stamp(command, resolver)));
+    }
+
+    /** Persists, sends and applies everything that is pending; one sync covers it all. */
+    void process() throws LogStoreException {
+        Optional<PersistBatch> batch;
+        do {
+            // Entries go to the followers before the own sync, so that all sync in parallel.
+            sender.accept(node.drainMessages());
+            batch = node.takeBatch();
+            if (batch.isPresent()) {
+                store.persist(batch.get());
+                node.persisted(batch.get().number());
+            }
+            applyCommitted();
+        } while (batch.isPresent());
+        sender.accept(node.drainMessages());
+    }
+
+    List<ReadResult> takeReads() {
+        return node.takeReads();
+    }
+
+    private void applyCommitted() {
+        node.takeRestore().ifPresent(this::restore);
+        for (ReplicationEntry entry : node.takeCommitted()) {
+            logBytes += entry.sizeBytes();
+            if (entry.command().length == 0) {
+                state.applyVoters(
+                        entry.index(),
+                        entry.timeMs(),
+                        entry.membership().map(ClusterMembership::voters));
+                continue;
+            }
+            StampedCommand command = codec.decodeCommand(entry.command());
+            ControlResult result = state.apply(entry.index(), entry.timeMs(), command);
+            listener.applied(entry, result);
+        }
+        if (!snapshotRunning && logBytes >= Math.max(MIN_SNAPSHOT_LOG_BYTES, lastSnapshotBytes)) {
+            startSnapshot();
+        }
+    }
+
+    private void restore(StoredSnapshot stored) {
+        ControlSnapshot snapshot = codec.decodeSnapshot(stored.data());
+        state.restore(snapshot, node.clusterId());
+        lastSnapshotBytes = stored.data().length;
+        logBytes = 0;
+    }
+
+    /** Encodes on another thread, because a full ledger takes longer than a heartbeat. */
+    private void startSnapshot() {
+        snapshotRunning = true;
+        logBytes = 0;
+        ControlSnapshot snapshot = state.snapshot(node.clusterId());
+        snapshotExecutor.execute(
+                () -> {
+                    byte[] data = codec.encode(snapshot);
+                    voterThread.accept(
+                            () -> {
+                                snapshotRunning = false;
+                                lastSnapshotBytes = data.length;
+                                node.compact(snapshot.index(), data);
+                            });
+                });
+    }
+
+    /** Learns the result of each command. */
+    @FunctionalInterface
+    interface AppliedListener {
+        void applied(ReplicationEntry entry, ControlResult result);
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/DiskLogStore.java
@@ -0,0 +1,332 @@
+package io.sapphirestack.runtime.storage;
+
+import io.sapphirestack.core.replication.HardState;
+import io.sapphirestack.core.replication.LogStore;
+import io.sapphirestack.core.replication.LogStoreException;
+import io.sapphirestack.core.replication.PersistBatch;
+import io.sapphirestack.core.replication.ReplicationEntry;
+import io.sapphirestack.core.replication.StoredSnapshot;
+import io.sapphirestack.core.replication.StoredState;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.jboss.logging.Logger;
+
+/**
+ * Storage of a voter under one data folder: {@code hard-state}, {@code snapshot-INDEX} and log
+ * segments {@code log-INDEX}.
+ *
+ * <p>An incomplete last write is removed when the storage is loaded, unless a marker shows that it
+ * was synced. Any other damage is reported and left as it is. Not thread-safe, except for the
+ * counter of syncs.
+ */
+public final class DiskLogStore implements LogStore {
+
+    private static final Logger LOG = Logger.getLogger(DiskLogStore.class);
+
+    /** Bounds the files that a snapshot leaves behind and the time to read one file. */
+    private static final long SEGMENT_BYTES = 8 * 1024 * 1024;
+
+    private static final String HARD_STATE = "hard-state";
+    private static final String SNAPSHOT_PREFIX = "snapshot-";
+    private static final String LOG_PREFIX = "log-";
+
+    private final Path folder;
+    private final DurableFiles files;
+    private final Consumer<String> stepDone;
+    private final List<LogSegment> segments = new ArrayList<>();
+    private final AtomicLong syncs = new AtomicLong();
+    private FileChannel lockChannel;
+    private boolean loaded;
+    private long snapshotIndex;
+
+    /**
+     * Creates a storage; {@link #load()} must be called first.
+     *
+     * @param folder data folder, created if it does not exist
+     */
+    public DiskLogStore(Path folder) {
+        this(folder, step -> {});
+    }
+
+    DiskLogStore(Path folder, Consumer<String> stepDone) {
+        this.folder = Objects.requireNonNull(folder, "folder");
+        this.stepDone = Objects.requireNonNull(stepDone, "stepDone");
+        this.files = new DurableFiles(stepDone);
+    }
+
+    /** Returns how often the log was synced. Thread-safe. */
+    public long syncs() {
+        return syncs.get();
+    }
+
+    @Override
+    public StoredState load() throws LogStoreException {
+        if (loaded) {
+            throw new IllegalStateException("the storage is loaded already");
+        }
+        Path current = folder;
+        try {
+            Files.createDirectories(folder);
+            lock();
+            removeTemporaryFiles();
+            List<Path> snapshots = list(SNAPSHOT_PREFIX);
+            List<Path> logs = list(LOG_PREFIX);
+            current = folder.resolve(HARD_STATE);
+            HardState hardState = loadHardState(current, snapshots.isEmpty() && logs.isEmpty());
+            Optional<StoredSnapshot> snapshot = Optional.empty();
+            if (!snapshots.isEmpty()) {
+                current = snapshots.get(snapshots.size() - 1);
+                snapshot = Optional.of(EntryCodec.decodeSnapshot(files.read(current)));
+                snapshotIndex = snapshot.get().meta().index();
+            }
+            List<ReplicationEntry> entries = new ArrayList<>();
+            for (int i = 0; i < logs.size(); i++) {
+                current = logs.get(i);
+                segments.add(openSegment(current, i == logs.size() - 1, entries));
+            }
+            current = folder;
+            List<ReplicationEntry> remaining = reconcile(snapshot, entries);
+            finishLoad(snapshots);
+            loaded = true;
+            return new StoredState(hardState, snapshot, remaining);
+        } catch (IOException e) {
+            closeQuietly();
+            throw new LogStoreException(
+                    "load-storage", current.toString(), "cannot read: " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void persist(PersistBatch batch) throws LogStoreException {
+        if (!loaded) {
+            throw new IllegalStateException("the storage is not loaded");
+        }
+        try {
+            if (batch.hardState().isPresent()) {
+                files.replace(
+                        folder.resolve(HARD_STATE), EntryCodec.encode(batch.hardState().get()));
+                syncs.incrementAndGet();
+            }
+            if (batch.snapshot().isPresent()) {
+                writeSnapshot(batch.snapshot().get(), batch.discardLog());
+            }
+            if (batch.truncateFrom() != 0) {
+                truncateFrom(batch.truncateFrom());
+            }
+            appendEntries(batch.entries());
+        } catch (IOException e) {
+            throw new LogStoreException(
+                    "persist", folder.toString(), "cannot write: " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void close() throws LogStoreException {
+        try {
+            for (LogSegment segment : segments) {
+                segment.close();
+            }
+            if (lockChannel != null) {
+                lockChannel.close();
+            }
+        } catch (IOException e) {
+            throw new LogStoreException(
+                    "close-storage", folder.toString(), "cannot close: " + e.getMessage(), e);
+        }
+    }
+
+    private void lock() throws IOException {
+        lockChannel =
+                FileChannel.open(
+                        folder.resolve("lock"),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.WRITE);
+        try {
+            FileLock lock = lockChannel.tryLock();
+            if (lock == null) {
+                throw new IOException("another process uses this data folder");
+            }
+        } catch (OverlappingFileLockException e) {
+            throw new IOException("this process uses this data folder already", e);
+        }
+    }
+
+    private HardState loadHardState(Path file, boolean empty) throws IOException {
+        if (Files.exists(file)) {
+            return EntryCodec.decodeHardState(files.read(file));
+        }
+        if (!empty) {
+            throw new IOException("the file is missing but there is a log or a snapshot");
+        }
+        // A lost data folder gives a new identity, so that it never votes under the old one.
+        HardState created = new HardState(UUID.randomUUID().toString(), "", 0, "");
+        files.replace(file, EntryCodec.encode(created));
+        LOG.infof("SAP1001 created voter identity %s in %s", created.voterId(), folder);
+        return created;
+    }
+
+    private static LogSegment openSegment(Path file, boolean last, List<ReplicationEntry> entries)
+            throws IOException {
+        long firstIndex = indexOf(file, LOG_PREFIX);
+        if (!entries.isEmpty() && entries.get(entries.size() - 1).index() + 1 != firstIndex) {
+            throw new IOException(
+                    "the log has a gap after entry " + entries.get(entries.size() - 1).index());
+        }
+        return LogSegment.open(file, firstIndex, last, entries);
+    }
+
+    /** Returns the entries that follow the snapshot; removes a log that contradicts it. */
+    private List<ReplicationEntry> reconcile(
+            Optional<StoredSnapshot> snapshot, List<ReplicationEntry> entries) throws IOException {
+        long termAtSnapshot = snapshot.map(value -> value.meta().term()).orElse(0L);
+        boolean contradicts =
+                entries.stream()
+                        .anyMatch(
+                                entry ->
+                                        entry.index() == snapshotIndex
+                                                && entry.term() != termAtSnapshot);
+        boolean before =
+                !entries.isEmpty() && entries.get(entries.size() - 1).index() < snapshotIndex;
+        if (contradicts || before) {
+            // The process stopped while a snapshot from the leader replaced the log.
+            deleteSegmentsFrom(0);
+            return List.of();
+        }
+        List<ReplicationEntry> remaining =
+                entries.stream().filter(entry -> entry.index() > snapshotIndex).toList();
+        if (!remaining.isEmpty() && remaining.get(0).index() != snapshotIndex + 1) {
+            throw new IOException(
+                    "entries "
+                            + (snapshotIndex + 1)
+                            + " to "
+                            + (remaining.get(0).index() - 1)
+                            + " are missing");
+        }
+        return remaining;
+    }
+
+    private void finishLoad(List<Path> snapshots) throws IOException {
+        for (int i = 0; i < snapshots.size() - 1; i++) {
+            files.delete(snapshots.get(i));
+        }
+        if (!segments.isEmpty()) {
+            // The last run may have written the entries without syncing them.
+            LogSegment last = segments.get(segments.size() - 1);
+            last.sync();
+            last.writeMarker();
+        }
+    }
+
+    private void writeSnapshot(StoredSnapshot snapshot, boolean discardLog) throws IOException {
+        long previous = snapshotIndex;
+        files.replace(snapshotFile(snapshot.meta().index()), EntryCodec.encode(snapshot));
+        snapshotIndex = snapshot.meta().index();
+        if (previous != 0 && previous != snapshotIndex) {
+            files.delete(snapshotFile(previous));
+        }
+        if (discardLog) {
+            deleteSegmentsFrom(0);
+            return;
+        }
+        while (segments.size() > 1 && segments.get(0).lastIndex() <= snapshotIndex) {
+            LogSegment covered = segments.remove(0);
+            covered.close();
+            files.delete(covered.file());
+        }
+    }
+
+    private void truncateFrom(long index) throws IOException {
+        int keep = segments.size();
+        while (keep > 0 && segments.get(keep - 1).firstIndex() >= index) {
+            keep--;
+        }
+        deleteSegmentsFrom(keep);
+        if (keep > 0 && segments.get(keep - 1).lastIndex() >= index) {
+            segments.get(keep - 1).truncateFrom(index);
+            stepDone.accept("log truncated");
+            segments.get(keep - 1).sync();
+            segments.get(keep - 1).writeMarker();
+        }
+    }
+
+    /** Deletes from the end, so that a crash in between leaves no gap. */
+    private void deleteSegmentsFrom(int keep) throws IOException {
+        for (int i = segments.size() - 1; i >= keep; i--) {
+            LogSegment removed = segments.remove(i);
+            removed.close();
+            files.delete(removed.file());
+        }
+    }
+
+    private void appendEntries(List<ReplicationEntry> entries) throws IOException {
+        if (entries.isEmpty()) {
+            return;
+        }
+        if (segments.isEmpty() || segments.get(segments.size() - 1).sizeBytes() >= SEGMENT_BYTES) {
+            long firstIndex = entries.get(0).index();
+            segments.add(LogSegment.create(logFile(firstIndex), firstIndex));
+            stepDone.accept("segment created");
+        }
+        LogSegment last = segments.get(segments.size() - 1);
+        last.append(entries);
+        stepDone.accept("entries written");
+        last.sync();
+        syncs.incrementAndGet();
+        stepDone.accept("entries synced");
+        last.writeMarker();
+    }
+
+    private void removeTemporaryFiles() throws IOException {
+        for (Path file : list("")) {
+            if (file.getFileName().toString().endsWith(".tmp")) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    private List<Path> list(String prefix) throws IOException {
+        try (Stream<Path> found = Files.list(folder)) {
+            return found.filter(file -> file.getFileName().toString().startsWith(prefix))
+                    .sorted(Comparator.comparing(file -> file.getFileName().toString()))
+                    .toList();
+        }
+    }
+
+    private Path snapshotFile(long index) {
+        return folder.resolve(SNAPSHOT_PREFIX + String.format("%019d", index));
+    }
+
+    private Path logFile(long index) {
+        return folder.resolve(LOG_PREFIX + String.format("%019d", index));
+    }
+
+    private static long indexOf(Path file, String prefix) throws IOException {
+        try {
+            return Long.parseLong(file.getFileName().toString().substring(prefix.length()));
+        } catch (NumberFormatException e) {
+            throw new IOException("unexpected file name", e);
+        }
+    }
+
+    private void closeQuietly() {
+        try {
+            close();
+        } catch (LogStoreException e) {
+            LOG.debug("closing after a failed load", e);
+        }
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
@@ -0,0 +1,260 @@
+package io.sapphirestack.runtime.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sapphirestack.core.blackboard.BlackboardPart;
+import io.sapphirestack.core.blackboard.Readiness;
+import io.sapphirestack.core.control.ControlCommand;
+import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.control.ControlView;
+import io.sapphirestack.core.control.InstanceInfo;
+import io.sapphirestack.core.control.InstanceStatus;
+import io.sapphirestack.core.id.AccountId;
+import io.sapphirestack.core.id.InstanceId;
+import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.id.OrderKey;
+import io.sapphirestack.core.record.RecordKey;
+import io.sapphirestack.core.record.RecordSpecResolver;
+import io.sapphirestack.core.replication.LeaderTerm;
+import io.sapphirestack.core.replication.ReplicationSettings;
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.blackboard.Blackboard;
+import io.sapphirestack.runtime.storage.DiskLogStore;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards the path from a submitted command to the blackboard of every instance. */
+class ControlServiceTests {
+
+    private static final List<String> VOTERS = List.of("v1:1", "v2:1", "v3:1");
+    private static final long LIMIT_MS = 20_000;
+
+    @TempDir Path folder;
+
+    private final MillisClock clock = MillisClock.monotonic();
+    private final InMemoryPeers peers = new InMemoryPeers();
+    private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+    private final Map<String, ControlService> services = new LinkedHashMap<>();
+    private final Map<String, ControlWatcher> watchers = new LinkedHashMap<>();
+    private final Map<String, Blackboard> boards = new LinkedHashMap<>();
+    private DefaultControlClient client;
+
+    @BeforeEach
+    void startVoters() throws Exception {
+        for (String address : VOTERS) {
+            startVoter(address, address.substring(0, 2));
+        }
+        client = new DefaultControlClient(VOTERS, peers.transport("client"), scheduler, clock);
+    }
+
+    @AfterEach
+    void stopAll() throws Exception {
+        watchers.values().forEach(ControlWatcher::stop);
+        for (ControlService service : services.values()) {
+            service.stop().get(LIMIT_MS, TimeUnit.MILLISECONDS);
+        }
+        scheduler.shutdownNow();
+        peers.close();
+    }
+
+    @Test
+    void acceptedChangeReachesEveryInstanceConfirmed() throws Exception {
+        startWatcher("i1");
+        startWatcher("i2");
+
+        ControlResult result = submit(putAccount("c1", "a", 0, 3));
+
+        long revision = ((ControlResult.RecordAccepted) result).revision();
+        for (Blackboard board : boards.values()) {
+            ControlView view = await(board.control(), v -> v.revision() >= revision);
+            assertThat(view.record(new RecordKey("account", "a"))).isPresent();
+            await(board.freshness(), lease -> lease.isValidAt(clock.nowMs()));
+        }
+    }
+
+    @Test
+    void resendGetsTheFirstAnswerAfterTheLeaderStops() throws Exception {
+        ControlResult first = submit(putAccount("c1", "a", 0, 3));
+        services.remove(leader()).stop().get(LIMIT_MS, TimeUnit.MILLISECONDS);
+
+        assertThat(submit(putAccount("c1", "a", 0, 3))).isEqualTo(first);
+        assertThat(submit(putAccount("c2", "a", 0, 4)))
+                .isInstanceOf(ControlResult.RecordConflict.class);
+    }
+
+    @Test
+    void voterWithLostDiskIsReplacedAndASecondLossLosesNothing() throws Exception {
+        ControlResult first = submit(putAccount("c1", "a", 0, 3));
+        String lost = anyFollower();
+        services.remove(lost).stop().get(LIMIT_MS, TimeUnit.MILLISECONDS);
+        startVoter(lost, "empty-" + lost.substring(0, 2));
+        String second = VOTERS.stream().filter(a -> !a.equals(lost)).findFirst().orElseThrow();
+        submitUntilVoter(lost);
+        services.remove(second).stop().get(LIMIT_MS, TimeUnit.MILLISECONDS);
+
+        assertThat(submit(putAccount("c1", "a", 0, 3))).isEqualTo(first);
+    }
+
+    @Test
+    void silentInstanceIsEvictedAndJoinsAgainWithRetainedMemory() throws Exception {
+        startWatcher("i1");
+        startWatcher("i2");
+        Blackboard board = boards.get("i1");
+        InstanceRef before = await(board.self(), Optional::isPresent).orElseThrow();
+
+        peers.isolate("i1");
+        Blackboard other = boards.get("i2");
+        await(other.control(), view -> view.isLive(before));
+        await(other.control(), view -> !view.isLive(before));
+        peers.reconnect("i1");
+
+        InstanceRef after =
+                await(board.self(), self -> self.filter(r -> !r.equals(before)).isPresent())
+                        .orElseThrow();
+        assertThat(after.incarnation()).isGreaterThan(before.incarnation());
+    }
+
+    @Test
+    void orderIsGrantedOnceAndItsAnswerIsKept() throws Exception {
+        OrderKey key = new OrderKey(AccountId.of("a"), "refill", "k1");
+        InstanceRef holder = new InstanceRef(InstanceId.of("i1"), 1);
+        ControlCommand reserve = new ControlCommand.ReserveOrder(key, "h", holder, "n1");
+
+        assertThat(submit(reserve)).isEqualTo(new ControlResult.OrderGranted("n1"));
+        assertThat(submit(new ControlCommand.ReserveOrder(key, "h", holder, "n2")))
+                .isEqualTo(new ControlResult.OrderReserved(holder, "n1", "h"));
+        submit(new ControlCommand.CompleteOrder(key, "n1", 200, "text/plain", new byte[] {7}));
+        ControlResult read = submit(new ControlCommand.ReadOrder(key));
+
+        assertThat(((ControlResult.OrderDone) read).answer()).containsExactly(7);
+    }
+
+    @Test
+    void leadershipIsHeldByOneVoterAndCanBePassedOn() throws Exception {
+        submit(putAccount("c1", "a", 0, 3));
+        String leader = leader();
+        CompletableFuture<Optional<LeaderTerm>> lost = new CompletableFuture<>();
+        services.get(leader).leaderLease().addListener(lost::complete);
+
+        services.get(leader).transferLeadership().get(LIMIT_MS, TimeUnit.MILLISECONDS);
+
+        assertThat(lost.get(LIMIT_MS, TimeUnit.MILLISECONDS)).isEmpty();
+        assertThat(submit(putAccount("c2", "b", 0, 3)))
+                .isInstanceOf(ControlResult.RecordAccepted.class);
+    }
+
+    @Test
+    void plannedLeaveEndsTheMembership() throws Exception {
+        startWatcher("i1");
+        startWatcher("i2");
+        InstanceRef ref = await(boards.get("i1").self(), Optional::isPresent).orElseThrow();
+        await(boards.get("i2").control(), view -> view.isLive(ref));
+
+        watchers.get("i1").leave(LIMIT_MS).get(LIMIT_MS, TimeUnit.MILLISECONDS);
+
+        await(boards.get("i2").control(), view -> !view.isLive(ref));
+    }
+
+    private void startVoter(String address, String folderName) throws Exception {
+        ControlService service =
+                new ControlService(
+                        ReplicationSettings.withDefaults(address, VOTERS),
+                        new DiskLogStore(folder.resolve(folderName)),
+                        peers.transport(address),
+                        peers.registry(address),
+                        clock,
+                        MillisClock.wall(),
+                        new Random(address.hashCode()),
+                        new RecordSpecResolver());
+        service.start();
+        services.put(address, service);
+    }
+
+    private void startWatcher(String id) {
+        Blackboard board = Blackboard.create();
+        InstanceRef ref = new InstanceRef(InstanceId.of(id), 1);
+        ControlWatcher watcher =
+                new ControlWatcher(
+                        new InstanceInfo(ref, "az1", "r1", id + ":1", id + ":2", 1),
+                        VOTERS,
+                        peers.transport(id),
+                        new DefaultControlClient(VOTERS, peers.transport(id), scheduler, clock),
+                        board,
+                        () -> new InstanceStatus(ref, 0, Readiness.READY, 0, Map.of(), List.of()),
+                        clock,
+                        new Random(id.hashCode()));
+        boards.put(id, board);
+        watchers.put(id, watcher);
+        watcher.start();
+    }
+
+    private ControlResult submit(ControlCommand command) throws Exception {
+        return client.submit(command, LIMIT_MS).get(2 * LIMIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private String leader() {
+        return services.entrySet().stream()
+                .filter(entry -> entry.getValue().leaderLease().current().isPresent())
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private String anyFollower() {
+        String leader = leader();
+        return VOTERS.stream().filter(a -> !a.equals(leader)).findFirst().orElseThrow();
+    }
+
+    private void submitUntilVoter(String address) throws Exception {
+        long deadlineMs = clock.nowMs() + LIMIT_MS;
+        int number = 0;
+        while (!services.get(address).isVoter().get(LIMIT_MS, TimeUnit.MILLISECONDS)) {
+            assertThat(clock.nowMs()).as("time until %s votes", address).isLessThan(deadlineMs);
+            submit(putAccount("fill" + number, "fill" + number, 0, 1));
+            number++;
+        }
+    }
+
+    private static ControlCommand putAccount(
+            String changeId, String name, long expectedRevision, int priority) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("keyHash", "sha256$00$" + "ab".repeat(32));
+        body.put("priority", priority);
+        return new ControlCommand.PutRecord(
+                changeId,
+                "op",
+                new RecordKey("account", name),
+                expectedRevision,
+                1,
+                1,
+                body,
+                false);
+    }
+
+    private static <T> T await(BlackboardPart<T> part, Predicate<T> condition) throws Exception {
+        CompletableFuture<T> reached = new CompletableFuture<>();
+        part.addListener(
+                value -> {
+                    if (condition.test(value)) {
+                        reached.complete(value);
+                    }
+                });
+        T current = part.read();
+        return condition.test(current) ? current : reached.get(LIMIT_MS, TimeUnit.MILLISECONDS);
+    }
+}
