--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
@@ -101,19 +101,13 @@
         }
         if (message.message() instanceof FormationQuery query) {
             formation.onQuery(message, query);
-            return;
-        }
-        if (message.message() instanceof FormationReply reply) {
+        } else if (message.message() instanceof FormationReply reply) {
             formation.onReply(message, reply);
-            return;
-        }
-        if (message.message() instanceof LearnerRequest) {
+        } else if (message.message() instanceof LearnerRequest) {
             if (leader != null) {
                 leader.learnerRequested(message);
             }
-            return;
-        }
-        if (isForThisNode(message)) {
+        } else if (isForThisNode(message)) {
             dispatch(message);
         }
     }
@@ -175,7 +169,7 @@
     }
 
     /**
-     * Asks the most up-to-date active voter to take over; returns whether there was one.
+     * Asks the most up-to-date active voter to take over.
      *
      * @return whether a voter was asked
      */
@@ -282,6 +276,11 @@
         return state.log.snapshotMeta().index();
     }
 
+    /** Returns whether the newest change of the voters is committed. */
+    public boolean isMembershipCommitted() {
+        return state.log.membershipIndex() <= state.commitIndex();
+    }
+
     /** Returns the voters in the newest entry that names them, committed or not. */
     public ClusterMembership membership() {
         return state.log.membership();
@@ -349,9 +348,8 @@
             return;
         }
         long term = preVote ? state.term() + 1 : state.term();
-        VoteRequest request =
-                new VoteRequest(
-                        preVote, term, state.log.lastIndex(), state.log.lastTerm(), transfer);
+        long index = state.log.lastIndex();
+        VoteRequest request = new VoteRequest(preVote, term, index, state.log.lastTerm(), transfer);
         state.log
                 .membership()
                 .voters()
@@ -465,9 +463,7 @@
     }
 
     private void stepDownIfRemoved() {
-        if (leader != null
-                && !state.isVoter()
-                && state.log.membershipIndex() <= state.commitIndex()) {
+        if (leader != null && !state.isVoter() && isMembershipCommitted()) {
             becomeFollower(state.term(), "");
         }
     }
--- /dev/null
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/replication/MemoryLogStore.java
@@ -0,0 +1,62 @@
+package io.sapphirestack.core.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+
+/** Storage that keeps what was persisted completely, and any prefix of a batch that was not. */
+final class MemoryLogStore {
+
+    private HardState hardState;
+    private Optional<StoredSnapshot> snapshot = Optional.empty();
+    private List<ReplicationEntry> entries = new ArrayList<>();
+
+    MemoryLogStore(Random random) {
+        String voterId = new UUID(random.nextLong(), random.nextLong()).toString();
+        hardState = new HardState(voterId, "", 0, "");
+    }
+
+    String voterId() {
+        return hardState.voterId();
+    }
+
+    StoredState load() {
+        return new StoredState(hardState, snapshot, entries);
+    }
+
+    void persist(PersistBatch batch) {
+        persistPrefix(batch, Integer.MAX_VALUE);
+    }
+
+    /** A crash during the write: some first steps of the batch are durable. */
+    void tear(PersistBatch batch, Random random) {
+        persistPrefix(batch, random.nextInt(4 + batch.entries().size()));
+    }
+
+    private void persistPrefix(PersistBatch batch, int steps) {
+        if (steps >= 1) {
+            batch.hardState().ifPresent(next -> hardState = next);
+        }
+        if (steps >= 2 && batch.snapshot().isPresent()) {
+            takeSnapshot(batch.snapshot().get(), batch.discardLog());
+        }
+        if (steps >= 3 && batch.truncateFrom() != 0) {
+            entries.removeIf(entry -> entry.index() >= batch.truncateFrom());
+        }
+        for (int i = 0; i < batch.entries().size() && i + 4 <= steps; i++) {
+            entries.add(batch.entries().get(i));
+        }
+    }
+
+    private void takeSnapshot(StoredSnapshot next, boolean discardLog) {
+        snapshot = Optional.of(next);
+        long index = next.meta().index();
+        entries =
+                new ArrayList<>(
+                        entries.stream()
+                                .filter(entry -> !discardLog && entry.index() > index)
+                                .toList());
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/replication/ReplicatedControlTests.java
@@ -0,0 +1,115 @@
+package io.sapphirestack.core.replication;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.ActionChainArbitrary;
+import net.jqwik.api.state.Transformer;
+import net.jqwik.api.statistics.Statistics;
+
+/**
+ * Guards against lost or reverted changes, two winners, two grants, stale reads and changed
+ * answers, whatever voters, disks and the network do. The oracle checks after every step.
+ */
+class ReplicatedControlTests {
+
+    @Property(seed = "20261204", edgeCases = EdgeCasesMode.NONE, shrinking = ShrinkingMode.BOUNDED)
+    void faultsNeverBreakTheControlLog(@ForAll("chains") ActionChain<MailboxCluster> chain) {
+        MailboxCluster cluster = chain.run();
+        cluster.checkRecovery();
+
+        Statistics.label("disk losses").collect(cluster.diskLosses());
+        Statistics.label("read confirmed").collect(cluster.oracle().confirmedReads() > 0);
+        Statistics.label("more than 5 changes answered")
+                .collect(cluster.oracle().answerCount() > 5);
+        assertThat(cluster.oracle().lastCommitted()).isPositive();
+    }
+
+    @Provide
+    ActionChainArbitrary<MailboxCluster> chains() {
+        Arbitrary<Integer> voter = Arbitraries.integers().between(0, 2);
+        return ActionChain.startWith(() -> started(42))
+                .withAction(12, run(0))
+                .withAction(4, run(20))
+                .withAction(
+                        6,
+                        action(
+                                "put",
+                                Arbitraries.integers().between(0, 2),
+                                (c, i) -> c.submitPut(i)))
+                .withAction(
+                        4,
+                        action(
+                                "reserve",
+                                Arbitraries.integers().between(0, 1),
+                                (c, i) -> c.submitReserve(i)))
+                .withAction(
+                        1,
+                        action(
+                                "join",
+                                Arbitraries.integers().between(0, 1),
+                                (c, i) -> c.submitJoin(i)))
+                .withAction(2, action("release", voter, (c, i) -> c.release()))
+                .withAction(4, action("resend", voter, (c, i) -> c.resend()))
+                .withAction(4, action("read", voter, (c, i) -> c.read()))
+                .withAction(3, action("crash", voter, MailboxCluster::crash))
+                .withAction(4, action("restart", voter, MailboxCluster::restart))
+                .withAction(3, action("lose disk", voter, MailboxCluster::loseDisk))
+                .withAction(2, action("pause", voter, MailboxCluster::pause))
+                .withAction(3, action("resume", voter, (c, i) -> c.resume()))
+                .withAction(3, block())
+                .withAction(3, action("heal", voter, (c, i) -> c.heal()))
+                .withAction(3, action("compact", voter, MailboxCluster::compact))
+                .withAction(1, action("transfer", voter, (c, i) -> c.transferLeadership()))
+                .withMaxTransformations(80);
+    }
+
+    private static MailboxCluster started(long seed) {
+        MailboxCluster cluster = new MailboxCluster(seed);
+        cluster.run(2_000, 0);
+        return cluster;
+    }
+
+    /** Lets 20 to 900 ms pass; the argument also seeds the faults of the mailbox. */
+    private static Action.Independent<MailboxCluster> run(int dropPercent) {
+        return action(
+                "run with " + dropPercent + "% loss and seed",
+                Arbitraries.integers().between(0, 1 << 30),
+                (cluster, seed) -> cluster.run(20 + seed % 880, dropPercent, seed));
+    }
+
+    private static Action.Independent<MailboxCluster> block() {
+        return action(
+                "block",
+                Arbitraries.integers().between(0, 17),
+                (cluster, i) -> cluster.block(i % 3, i / 3 % 3, i >= 9));
+    }
+
+    private static Action.Independent<MailboxCluster> action(
+            String label, Arbitrary<Integer> argument, Effect effect) {
+        return new Action.Independent<>() {
+            @Override
+            public Arbitrary<Transformer<MailboxCluster>> transformer() {
+                return argument.map(
+                        value ->
+                                Transformer.mutate(
+                                        label + " " + value,
+                                        cluster -> effect.apply(cluster, value)));
+            }
+        };
+    }
+
+    /** Effect of an action with one argument. */
+    @FunctionalInterface
+    private interface Effect {
+        void apply(MailboxCluster cluster, int value);
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/replication/VoterUnderTest.java
@@ -0,0 +1,179 @@
+package io.sapphirestack.core.replication;
+
+import io.sapphirestack.core.control.ControlCodec;
+import io.sapphirestack.core.control.ControlCommand;
+import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.control.ControlState;
+import io.sapphirestack.core.control.StampedCommand;
+import io.sapphirestack.core.record.RecordSpecResolver;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+
+/** One voter with its storage, its state machine and the requests that wait for an answer. */
+final class VoterUnderTest {
+
+    private static final ControlCodec CODEC = new ControlCodec();
+    private static final RecordSpecResolver RESOLVER = new RecordSpecResolver();
+
+    final String address;
+    private final List<String> addresses;
+    private final Random random;
+    private final ControlOracle oracle;
+    private final long[] nowMs;
+    private final long wallSkewMs;
+    private MemoryLogStore store;
+    private ReplicationNode node;
+    private ControlState state;
+    private Optional<PersistBatch> unsynced = Optional.empty();
+    private final Map<Long, PendingCommand> pending = new HashMap<>();
+    private long nextReadId;
+    boolean paused;
+
+    VoterUnderTest(
+            String address,
+            List<String> addresses,
+            Random random,
+            ControlOracle oracle,
+            long[] nowMs) {
+        this.address = address;
+        this.addresses = addresses;
+        this.random = random;
+        this.oracle = oracle;
+        this.nowMs = nowMs;
+        this.wallSkewMs = random.nextInt(10_000);
+        this.store = new MemoryLogStore(random);
+        start();
+    }
+
+    boolean isRunning() {
+        return node != null;
+    }
+
+    boolean isActive() {
+        return node != null && !paused;
+    }
+
+    ReplicationNode node() {
+        return node;
+    }
+
+    ControlState state() {
+        return state;
+    }
+
+    String voterId() {
+        return store.voterId();
+    }
+
+    void start() {
+        ReplicationSettings settings =
+                new ReplicationSettings(address, addresses, 300, 600, 100, 1_000, 300, 200);
+        node =
+                new ReplicationNode(
+                        settings,
+                        () -> nowMs[0],
+                        () -> nowMs[0] + wallSkewMs,
+                        new Random(random.nextLong()),
+                        store.load());
+        state = new ControlState();
+        paused = false;
+        process();
+    }
+
+    void crash() {
+        unsynced.ifPresent(batch -> store.tear(batch, random));
+        unsynced = Optional.empty();
+        pending.clear();
+        node = null;
+        state = null;
+    }
+
+    void loseDisk() {
+        crash();
+        store = new MemoryLogStore(random);
+    }
+
+    void sync() {
+        if (unsynced.isPresent()) {
+            PersistBatch batch = unsynced.get();
+            unsynced = Optional.empty();
+            store.persist(batch);
+            node.persisted(batch.number());
+            process();
+        }
+    }
+
+    void receive(VoterMessage message) {
+        node.receive(message);
+        process();
+    }
+
+    void tick() {
+        node.tick();
+        process();
+        node.leadership().ifPresent(term -> oracle.leads(address, term, nowMs[0]));
+    }
+
+    boolean submit(ControlCommand command) {
+        OptionalLong index = node.propose(CODEC.encode(StampedCommand.stamp(command, RESOLVER)));
+        index.ifPresent(value -> pending.put(value, new PendingCommand(node.term(), command)));
+        process();
+        return index.isPresent();
+    }
+
+    void read() {
+        oracle.readStarted(address, ++nextReadId);
+        node.requestRead(nextReadId);
+        process();
+    }
+
+    void compact() {
+        if (node.snapshotIndex() < state.index()) {
+            node.compact(state.index(), CODEC.encode(state.snapshot(node.clusterId())));
+            process();
+        }
+    }
+
+    List<VoterMessage> drainMessages() {
+        return node.drainMessages();
+    }
+
+    /** Applies what is committed; a batch is taken at once and synced later. */
+    private void process() {
+        if (unsynced.isEmpty()) {
+            unsynced = node.takeBatch();
+        }
+        node.takeRestore()
+                .ifPresent(
+                        snapshot ->
+                                state.restore(
+                                        CODEC.decodeSnapshot(snapshot.data()), node.clusterId()));
+        for (ReplicationEntry entry : node.takeCommitted()) {
+            apply(entry);
+        }
+        for (ReadResult result : node.takeReads()) {
+            oracle.readEnded(address, result);
+        }
+    }
+
+    private void apply(ReplicationEntry entry) {
+        oracle.committed(address, entry);
+        if (entry.command().length == 0) {
+            state.applyVoters(
+                    entry.index(), entry.timeMs(), entry.membership().map(m -> m.voters()));
+            return;
+        }
+        ControlResult result =
+                state.apply(entry.index(), entry.timeMs(), CODEC.decodeCommand(entry.command()));
+        PendingCommand done = pending.remove(entry.index());
+        if (done != null && done.term() == entry.term()) {
+            oracle.answered(done.command(), result);
+        }
+    }
+
+    private record PendingCommand(long term, ControlCommand command) {}
+}
