--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
@@ -154,13 +154,11 @@
 
     void onSnapshotReply(VoterMessage from, SnapshotReply reply) {
         PeerProgress peer = peers.get(from.fromVoter());
-        if (peer == null
-                || reply.term() != state.term()
-                || reply.index() != peer.snapshotIndex
-                || reply.receivedBytes() < peer.snapshotOffset) {
+        if (peer == null || reply.term() != state.term() || reply.index() != peer.snapshotIndex) {
             return;
         }
         peer.lastAckMs = state.clock.nowMs();
+        // A receiver that restarted has lost the parts that it had received.
         peer.snapshotOffset = reply.receivedBytes();
         peer.inFlight = false;
     }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
@@ -425,7 +425,8 @@
 
     private void onAppend(VoterMessage from, AppendRequest request) {
         if (request.term() < state.term()) {
-            reply(from, new AppendReply(state.term(), false, 0, request.round()));
+            // The round belongs to an older term and must not confirm one of the current leader.
+            reply(from, new AppendReply(state.term(), false, state.log.lastIndex(), 0));
             return;
         }
         acceptLeader(from, request.term());
--- /dev/null
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/order/OrderLedgerTests.java
@@ -0,0 +1,129 @@
+package io.sapphirestack.core.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sapphirestack.core.id.AccountId;
+import io.sapphirestack.core.id.InstanceId;
+import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.id.OrderKey;
+import org.junit.jupiter.api.Test;
+
+/** Guards the rules that let an order run at most once. */
+class OrderLedgerTests {
+
+    private static final InstanceRef HOLDER = new InstanceRef(InstanceId.of("i1"), 1);
+    private static final OrderKey KEY = key("k");
+
+    private final OrderLedger ledger = new OrderLedger(2, 100);
+
+    @Test
+    void secondReservationIsNotGranted() {
+        assertThat(reserve("n1", 0)).isEqualTo(new OrderOutcome.Granted("n1"));
+        assertThat(reserve("n2", 1)).isInstanceOf(OrderOutcome.Reserved.class);
+        assertThat(reserve("n1", 2)).isEqualTo(new OrderOutcome.Granted("n1"));
+    }
+
+    @Test
+    void releasedReservationIsNeverRevivedByADelayedDuplicate() {
+        reserve("n1", 0);
+        ledger.release(KEY, "n1", 1);
+
+        assertThat(reserve("n1", 2)).isInstanceOf(OrderOutcome.Released.class);
+        assertThat(reserve("n2", 3)).isEqualTo(new OrderOutcome.Granted("n2"));
+        assertThat(reserve("n1", 4)).isInstanceOf(OrderOutcome.Released.class);
+    }
+
+    @Test
+    void releaseThatOvertakesItsReservationPreventsTheGrant() {
+        ledger.release(KEY, "n1", 0);
+
+        assertThat(reserve("n1", 1)).isInstanceOf(OrderOutcome.Released.class);
+        assertThat(reserve("n2", 2)).isEqualTo(new OrderOutcome.Granted("n2"));
+    }
+
+    @Test
+    void releaseOfAnotherReservationLeavesTheGrantInForce() {
+        reserve("n1", 0);
+        ledger.release(KEY, "n0", 1);
+
+        assertThat(reserve("n2", 2)).isInstanceOf(OrderOutcome.Reserved.class);
+    }
+
+    @Test
+    void outcomeIsKeptAndNeverReplaced() {
+        reserve("n1", 0);
+        ledger.complete(KEY, "n1", 200, "a/b", new byte[] {1}, 1);
+        ledger.complete(KEY, "n1", 500, "c/d", new byte[] {2}, 2);
+        ledger.release(KEY, "n1", 3);
+
+        OrderOutcome.Done done = (OrderOutcome.Done) reserve("n2", 4);
+        assertThat(done.entry().status()).isEqualTo(200);
+        assertThat(done.entry().answer()).containsExactly(1);
+    }
+
+    @Test
+    void outcomeOfAnotherReservationIsIgnored() {
+        reserve("n1", 0);
+        ledger.complete(KEY, "n0", 200, "a/b", new byte[] {1}, 1);
+
+        assertThat(ledger.read(KEY, 2)).isInstanceOf(OrderOutcome.Reserved.class);
+    }
+
+    @Test
+    void sameKeyWithAnotherBodyIsRefused() {
+        reserve("n1", 0);
+
+        assertThat(ledger.reserve(KEY, "other", HOLDER, "n2", 1))
+                .isInstanceOf(OrderOutcome.KeyReused.class);
+    }
+
+    @Test
+    void fullLedgerRefusesInsteadOfDroppingAYoungerOutcome() {
+        reserve("n1", 0);
+        ledger.reserve(key("k2"), "h", HOLDER, "n2", 0);
+
+        assertThat(ledger.reserve(key("k3"), "h", HOLDER, "n3", 1))
+                .isInstanceOf(OrderOutcome.LedgerFull.class);
+        assertThat(ledger.read(KEY, 1)).isInstanceOf(OrderOutcome.Reserved.class);
+    }
+
+    @Test
+    void answersAreBoundedInBytes() {
+        reserve("n1", 0);
+        ledger.complete(KEY, "n1", 200, "a/b", new byte[100], 1);
+
+        assertThat(ledger.reserve(key("k2"), "h", HOLDER, "n2", 2))
+                .isInstanceOf(OrderOutcome.LedgerFull.class);
+    }
+
+    @Test
+    void keyIsForgottenAfterItsRetentionAndNotBefore() {
+        reserve("n1", 0);
+        ledger.complete(KEY, "n1", 200, "a/b", new byte[100], 10);
+        long endMs = 10 + OrderLedger.RETENTION_MS;
+
+        assertThat(ledger.read(KEY, endMs - 1)).isInstanceOf(OrderOutcome.Done.class);
+        assertThat(ledger.read(KEY, endMs)).isInstanceOf(OrderOutcome.NotFound.class);
+        assertThat(reserve("n2", endMs)).isEqualTo(new OrderOutcome.Granted("n2"));
+    }
+
+    @Test
+    void restoredLedgerAnswersTheSame() {
+        reserve("n1", 0);
+        ledger.release(KEY, "n1", 1);
+        OrderLedger restored = new OrderLedger(2, 100);
+        restored.restore(ledger.entries());
+
+        assertThat(restored.reserve(KEY, "h", HOLDER, "n1", 2))
+                .isInstanceOf(OrderOutcome.Released.class);
+        assertThat(restored.size()).isEqualTo(1);
+    }
+
+    private OrderOutcome reserve(String nonce, long nowMs) {
+        return ledger.reserve(KEY, "h", HOLDER, nonce, nowMs);
+    }
+
+    private static OrderKey key(String key) {
+        return new OrderKey(AccountId.of("a"), "refill", key);
+    }
+}
--- a/sapphire-core/src/test/java/io/sapphirestack/core/replication/MemoryLogStore.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/replication/MemoryLogStore.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.UUID;
 
 /** Storage that keeps what was persisted completely, and any prefix of a batch that was not. */
 final class MemoryLogStore {
@@ -13,8 +12,7 @@
     private Optional<StoredSnapshot> snapshot = Optional.empty();
     private List<ReplicationEntry> entries = new ArrayList<>();
 
-    MemoryLogStore(Random random) {
-        String voterId = new UUID(random.nextLong(), random.nextLong()).toString();
+    MemoryLogStore(String voterId) {
         hardState = new HardState(voterId, "", 0, "");
     }
 
--- /dev/null
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/replication/ReplicationNodeTests.java
@@ -0,0 +1,224 @@
+package io.sapphirestack.core.replication;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sapphirestack.core.replication.ReplicationMessage.AppendReply;
+import io.sapphirestack.core.replication.ReplicationMessage.AppendRequest;
+import io.sapphirestack.core.replication.ReplicationMessage.FormationReply;
+import io.sapphirestack.core.replication.ReplicationMessage.VoteReply;
+import io.sapphirestack.core.replication.ReplicationMessage.VoteRequest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** Guards single decisions of a node that a random run may meet only rarely. */
+class ReplicationNodeTests {
+
+    private static final Map<String, String> VOTERS = Map.of("A", "a:1", "B", "b:1", "C", "c:1");
+    private static final List<String> ADDRESSES = List.of("a:1", "b:1", "c:1");
+
+    private final AtomicLong nowMs = new AtomicLong(10_000);
+
+    @Test
+    void answerToAnOlderTermConfirmsNoRoundOfTheCurrentLeader() {
+        ReplicationNode node = node(stored("B", "K", 5, 1));
+
+        node.receive(from("A", "a:1", "B", append(4, 1, 57)));
+
+        AppendReply reply = (AppendReply) onlyMessage(node);
+        assertThat(reply.term()).isEqualTo(5);
+        assertThat(reply.success()).isFalse();
+        assertThat(reply.round()).isZero();
+    }
+
+    @Test
+    void appendIsAcknowledgedOnlyAfterItIsDurable() {
+        ReplicationNode node = node(stored("B", "K", 1, 1));
+
+        node.receive(from("A", "a:1", "B", append(1, 1, 1, entry(2, 1))));
+        PersistBatch batch = node.takeBatch().orElseThrow();
+
+        assertThat(node.drainMessages()).isEmpty();
+        node.persisted(batch.number());
+        assertThat(((AppendReply) onlyMessage(node)).matchIndex()).isEqualTo(2);
+    }
+
+    @Test
+    void voteIsSentOnlyAfterItIsDurable() {
+        ReplicationNode node = node(stored("B", "K", 1, 1));
+
+        node.receive(from("A", "a:1", "B", new VoteRequest(false, 2, 1, 1, false)));
+        PersistBatch batch = node.takeBatch().orElseThrow();
+
+        assertThat(batch.hardState().orElseThrow().votedFor()).isEqualTo("A");
+        assertThat(node.drainMessages()).isEmpty();
+        node.persisted(batch.number());
+        assertThat(((VoteReply) onlyMessage(node)).granted()).isTrue();
+    }
+
+    @Test
+    void candidateWithShorterLogGetsNoVote() {
+        ReplicationNode node = node(stored("B", "K", 1, 3));
+
+        node.receive(from("A", "a:1", "B", new VoteRequest(false, 2, 2, 1, false)));
+        node.persisted(node.takeBatch().orElseThrow().number());
+
+        assertThat(((VoteReply) onlyMessage(node)).granted()).isFalse();
+    }
+
+    @Test
+    void emptyDiskDoesNotAnswerForItsOldIdentity() {
+        ReplicationNode node =
+                node(new StoredState(hardState("B2", "", 0), Optional.empty(), List.of()));
+
+        node.receive(from("A", "a:1", "B", new VoteRequest(false, 2, 1, 1, false)));
+        node.receive(from("A", "a:1", "B", append(1, 0, 1, entry(1, 1))));
+
+        assertThat(node.lastIndex()).isZero();
+        assertThat(node.takeBatch()).isEmpty();
+        assertThat(node.drainMessages()).isEmpty();
+    }
+
+    @Test
+    void nodeOfAnotherClusterIsIgnored() {
+        ReplicationNode node = node(stored("B", "K", 1, 1));
+
+        node.receive(new VoterMessage("K2", "A", "a:1", "B", "b:1", append(9, 0, 1, entry(1, 9))));
+
+        assertThat(node.term()).isEqualTo(1);
+    }
+
+    @Test
+    void clusterIsNotFormedWhileAVoterHoldsALog() {
+        ReplicationNode node = emptyLowest();
+        long nonce = queryNonce(node);
+
+        node.receive(reply("B", "b:1", nonce, true));
+        node.receive(reply("C", "c:1", nonce, false));
+        nowMs.addAndGet(1_000);
+        node.tick();
+
+        assertThat(node.lastIndex()).isZero();
+    }
+
+    @Test
+    void clusterIsNotFormedFromAnswersToAnEarlierRun() {
+        ReplicationNode node = emptyLowest();
+        long nonce = queryNonce(node);
+
+        node.receive(reply("B", "b:1", nonce, true));
+        node.receive(reply("C", "c:1", nonce + 1, true));
+        nowMs.addAndGet(1_000);
+        node.tick();
+
+        assertThat(node.lastIndex()).isZero();
+    }
+
+    @Test
+    void clusterIsFormedOnceAllVotersAreEmpty() {
+        ReplicationNode node = emptyLowest();
+        long nonce = queryNonce(node);
+
+        node.receive(reply("B", "b:1", nonce, true));
+        node.receive(reply("C", "c:1", nonce, true));
+        node.tick();
+
+        assertThat(node.membership().voters()).isEqualTo(VOTERS);
+        assertThat(node.clusterId()).isNotEmpty();
+    }
+
+    @Test
+    void leaderThatHearsNoMajorityStepsDown() {
+        ReplicationNode node = node(stored("A", "K", 1, 1));
+        node.tick();
+        nowMs.addAndGet(700);
+        elect(node);
+        assertThat(node.role()).isEqualTo(ReplicationRole.LEADER);
+
+        nowMs.addAndGet(601);
+        node.tick();
+
+        assertThat(node.role()).isNotEqualTo(ReplicationRole.LEADER);
+        assertThat(node.leadership()).isEmpty();
+    }
+
+    private void elect(ReplicationNode node) {
+        node.tick();
+        long next = node.term() + 1;
+        node.receive(from("B", "b:1", "A", new VoteReply(true, next, true)));
+        node.persisted(node.takeBatch().orElseThrow().number());
+        node.receive(from("B", "b:1", "A", new VoteReply(false, next, true)));
+    }
+
+    private ReplicationNode emptyLowest() {
+        return node(new StoredState(hardState("A", "", 0), Optional.empty(), List.of()));
+    }
+
+    private static long queryNonce(ReplicationNode node) {
+        node.tick();
+        return node.drainMessages().stream()
+                .map(VoterMessage::message)
+                .filter(ReplicationMessage.FormationQuery.class::isInstance)
+                .map(ReplicationMessage.FormationQuery.class::cast)
+                .findFirst()
+                .orElseThrow()
+                .nonce();
+    }
+
+    private static VoterMessage reply(String voter, String address, long nonce, boolean empty) {
+        return new VoterMessage("", voter, address, "A", "a:1", new FormationReply(nonce, empty));
+    }
+
+    private ReplicationNode node(StoredState stored) {
+        String address = stored.hardState().voterId().substring(0, 1).toLowerCase() + ":1";
+        return new ReplicationNode(
+                ReplicationSettings.withDefaults(address, ADDRESSES),
+                nowMs::get,
+                nowMs::get,
+                new Random(1),
+                stored);
+    }
+
+    private static StoredState stored(String voter, String cluster, long term, int lastIndex) {
+        List<ReplicationEntry> entries = new ArrayList<>();
+        for (int index = 1; index <= lastIndex; index++) {
+            entries.add(entry(index, 1));
+        }
+        return new StoredState(hardState(voter, cluster, term), Optional.empty(), entries);
+    }
+
+    private static HardState hardState(String voter, String cluster, long term) {
+        return new HardState(voter, cluster, term, "");
+    }
+
+    private static ReplicationEntry entry(long index, long term) {
+        return new ReplicationEntry(
+                index,
+                term,
+                0,
+                new byte[0],
+                index == 1 ? Optional.of(new ClusterMembership(VOTERS)) : Optional.empty());
+    }
+
+    private static AppendRequest append(
+            long term, long prevIndex, long round, ReplicationEntry... entries) {
+        return new AppendRequest(
+                term, prevIndex, prevIndex == 0 ? 0 : 1, List.of(entries), 0, round);
+    }
+
+    private static VoterMessage from(
+            String voter, String address, String to, ReplicationMessage message) {
+        return new VoterMessage(
+                "K", voter, address, to, to.substring(0, 1).toLowerCase() + ":1", message);
+    }
+
+    private static ReplicationMessage onlyMessage(ReplicationNode node) {
+        List<VoterMessage> messages = node.drainMessages();
+        assertThat(messages).hasSize(1);
+        return messages.get(0).message();
+    }
+}
--- a/sapphire-core/src/test/java/io/sapphirestack/core/replication/VoterUnderTest.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/replication/VoterUnderTest.java
@@ -25,6 +25,11 @@
     private final ControlOracle oracle;
     private final long[] nowMs;
     private final long wallSkewMs;
+
+    /** Separate from the faults of the mailbox, which are seeded again by each action. */
+    private final Random nodeSeeds;
+
+    private int storeCount;
     private MemoryLogStore store;
     private ReplicationNode node;
     private ControlState state;
@@ -45,7 +50,8 @@
         this.oracle = oracle;
         this.nowMs = nowMs;
         this.wallSkewMs = random.nextInt(10_000);
-        this.store = new MemoryLogStore(random);
+        this.nodeSeeds = new Random(address.hashCode());
+        loseDisk();
         start();
     }
 
@@ -77,7 +83,7 @@
                         settings,
                         () -> nowMs[0],
                         () -> nowMs[0] + wallSkewMs,
-                        new Random(random.nextLong()),
+                        new Random(nodeSeeds.nextLong()),
                         store.load());
         state = new ControlState();
         paused = false;
@@ -94,7 +100,7 @@
 
     void loseDisk() {
         crash();
-        store = new MemoryLogStore(random);
+        store = new MemoryLogStore(address + "-" + ++storeCount);
     }
 
     void sync() {
