--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/storage/DiskLogStoreTests.java
@@ -0,0 +1,386 @@
+package io.sapphirestack.runtime.storage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.sapphirestack.core.replication.ClusterMembership;
+import io.sapphirestack.core.replication.HardState;
+import io.sapphirestack.core.replication.LogStoreException;
+import io.sapphirestack.core.replication.PersistBatch;
+import io.sapphirestack.core.replication.ReplicationEntry;
+import io.sapphirestack.core.replication.SnapshotMeta;
+import io.sapphirestack.core.replication.StoredSnapshot;
+import io.sapphirestack.core.replication.StoredState;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against acknowledged entries that are lost or changed by a crash or by damage. */
+class DiskLogStoreTests {
+
+    private static final ClusterMembership VOTERS = new ClusterMembership(Map.of("A", "a:1"));
+
+    @TempDir Path root;
+
+    private long batchNumber;
+
+    @Test
+    void everythingPersistedIsReadAgain() throws Exception {
+        Path folder = root.resolve("s");
+        HardState hardState;
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            hardState = new HardState(store.load().hardState().voterId(), "K", 3, "A");
+            store.persist(batch(Optional.of(hardState), 0, entries(1, 3, 1)));
+            store.persist(batch(Optional.empty(), 3, entries(3, 5, 2)));
+        }
+        StoredState state = load(folder);
+
+        assertThat(state.hardState()).isEqualTo(hardState);
+        assertThat(indexesAndTerms(state)).containsExactly("1/1", "2/1", "3/2", "4/2", "5/2");
+        assertThat(state.entries().get(0).membership()).contains(VOTERS);
+        assertThat(state.entries().get(4).command()).containsExactly(command(5, 2));
+    }
+
+    @Test
+    void emptyFolderGetsANewIdentityThatStays() throws Exception {
+        String first = load(root.resolve("a")).hardState().voterId();
+
+        assertThat(load(root.resolve("a")).hardState().voterId()).isEqualTo(first);
+        assertThat(load(root.resolve("b")).hardState().voterId()).isNotEqualTo(first);
+    }
+
+    @Test
+    void lastWriteCutAtAnyByteLosesOnlyThatWrite() throws Exception {
+        Path original = root.resolve("original");
+        long before;
+        try (DiskLogStore store = new DiskLogStore(original)) {
+            store.load();
+            store.persist(batch(Optional.empty(), 0, entries(1, 4, 1)));
+            before = Files.size(log(original));
+            store.persist(batch(Optional.empty(), 0, entries(5, 7, 1)));
+        }
+        byte[] content = Files.readAllBytes(log(original));
+        for (int length = (int) before; length < content.length; length++) {
+            Path copy = copy(original, "cut" + length);
+            Files.write(log(copy), Arrays.copyOf(content, length));
+
+            StoredState state = load(copy);
+            assertThat(state.entries()).as("cut at %s", length).hasSizeBetween(4, 7);
+            appendAndReload(copy, state.entries().size() + 1);
+        }
+    }
+
+    @Test
+    void flippedByteInASyncedWriteIsReportedOrChangesNothing() throws Exception {
+        Path original = root.resolve("original");
+        try (DiskLogStore store = new DiskLogStore(original)) {
+            store.load();
+            store.persist(batch(Optional.empty(), 0, entries(1, 2, 1)));
+            store.persist(batch(Optional.empty(), 0, entries(3, 4, 1)));
+        }
+        byte[] content = Files.readAllBytes(log(original));
+        for (int at = 0; at < content.length; at++) {
+            Path copy = copy(original, "flip" + at);
+            byte[] damaged = content.clone();
+            damaged[at] ^= 0x10;
+            Files.write(log(copy), damaged);
+
+            boolean refused = false;
+            try {
+                // Only the last marker may be damaged without effect, since no entry follows it.
+                assertThat(load(copy).entries()).as("flip at %s", at).hasSize(4);
+            } catch (LogStoreException e) {
+                refused = true;
+                assertThat(e).hasMessageContaining("damaged").hasMessageContaining("log-");
+            }
+            assertThat(refused || at >= content.length - 25).as("flip at %s", at).isTrue();
+        }
+    }
+
+    @Test
+    void flippedByteInHardStateOrSnapshotIsReported() throws Exception {
+        Path original = root.resolve("original");
+        try (DiskLogStore store = new DiskLogStore(original)) {
+            store.load();
+            store.persist(batch(Optional.empty(), 0, entries(1, 4, 1)));
+            store.persist(snapshotBatch(3, false));
+        }
+        for (Path file : files(original)) {
+            if (!file.getFileName().toString().matches("hard-state|snapshot-.*")) {
+                continue;
+            }
+            byte[] content = Files.readAllBytes(file);
+            for (int at = 0; at < content.length; at++) {
+                Path copy = copy(original, file.getFileName() + "-" + at);
+                byte[] damaged = content.clone();
+                damaged[at] ^= 0x01;
+                Files.write(copy.resolve(file.getFileName()), damaged);
+
+                assertThatThrownBy(() -> load(copy))
+                        .as("%s at %s", file.getFileName(), at)
+                        .isInstanceOf(LogStoreException.class);
+            }
+        }
+    }
+
+    @Test
+    void crashAtEveryStepOfASnapshotKeepsTheState() throws Exception {
+        checkCrashSteps(
+                "compaction",
+                store -> store.persist(snapshotBatch(3, false)),
+                state -> {
+                    long covered = state.snapshot().map(s -> s.meta().index()).orElse(0L);
+                    assertThat(covered).isIn(2L, 3L);
+                    assertThat(covered + state.entries().size()).isEqualTo(4);
+                });
+    }
+
+    @Test
+    void crashAtEveryStepOfAnInstalledSnapshotGivesTheOldOrTheNewState() throws Exception {
+        checkCrashSteps(
+                "install",
+                store -> store.persist(snapshotBatch(9, true)),
+                state -> {
+                    long covered = state.snapshot().map(s -> s.meta().index()).orElse(0L);
+                    assertThat(covered).isIn(2L, 9L);
+                    assertThat(state.entries()).hasSize(covered == 2 ? 2 : 0);
+                });
+    }
+
+    @Test
+    void crashAtEveryStepOfAHardStateKeepsTheOldOrTheNewOne() throws Exception {
+        HardState next = new HardState("X", "K", 9, "B");
+        checkCrashSteps(
+                "hard state",
+                store -> store.persist(batch(Optional.of(next), 0, List.of())),
+                state ->
+                        assertThat(state.hardState().equals(next) || state.hardState().term() == 0)
+                                .isTrue());
+    }
+
+    @Test
+    void crashAtEveryStepOfAReplacedTailKeepsTheBeginning() throws Exception {
+        checkCrashSteps(
+                "replaced tail",
+                store -> store.persist(batch(Optional.empty(), 4, entries(4, 6, 2))),
+                state -> {
+                    assertThat(state.entries().get(0).term()).isEqualTo(1);
+                    long oldTail = state.entries().stream().filter(e -> e.term() == 1).count();
+                    long newTail = state.entries().stream().filter(e -> e.term() == 2).count();
+                    assertThat(oldTail == 2 && newTail == 0 || oldTail == 1 && newTail <= 3)
+                            .isTrue();
+                });
+    }
+
+    @Test
+    void logThatContradictsTheSnapshotIsRemoved() throws Exception {
+        Path folder = root.resolve("s");
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            store.load();
+            store.persist(batch(Optional.empty(), 0, entries(1, 4, 1)));
+        }
+        Path stale = copy(folder, "stale");
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            store.load();
+            store.persist(snapshotBatch(3, true));
+        }
+        Files.copy(log(stale), folder.resolve(log(stale).getFileName()));
+
+        StoredState state = load(folder);
+        assertThat(state.snapshot().orElseThrow().meta().index()).isEqualTo(3);
+        assertThat(state.entries()).isEmpty();
+    }
+
+    @Test
+    void missingHardStateBesideALogIsReported() throws Exception {
+        Path folder = root.resolve("s");
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            store.load();
+            store.persist(batch(Optional.empty(), 0, entries(1, 2, 1)));
+        }
+        Files.delete(folder.resolve("hard-state"));
+
+        assertThatThrownBy(() -> load(folder)).hasMessageContaining("missing");
+    }
+
+    @Test
+    void missingSegmentIsReported() throws Exception {
+        Path folder = root.resolve("s");
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            store.load();
+            store.persist(batch(Optional.empty(), 0, bigEntries(1)));
+            store.persist(batch(Optional.empty(), 0, bigEntries(2)));
+            store.persist(batch(Optional.empty(), 0, bigEntries(3)));
+        }
+        Files.delete(
+                files(folder).stream()
+                        .filter(file -> file.getFileName().toString().matches("log-0*2"))
+                        .findFirst()
+                        .orElseThrow());
+
+        assertThatThrownBy(() -> load(folder)).hasMessageContaining("gap");
+    }
+
+    @Test
+    void folderIsUsedByOneStoreOnly() throws Exception {
+        Path folder = root.resolve("s");
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            store.load();
+            assertThatThrownBy(() -> load(folder)).isInstanceOf(LogStoreException.class);
+        }
+    }
+
+    private void checkCrashSteps(String name, Change change, Consumer<StoredState> check)
+            throws Exception {
+        int step = 0;
+        boolean crashed = true;
+        while (crashed) {
+            Path folder = root.resolve(name + " " + step);
+            prepare(folder);
+            CrashAfter crash = new CrashAfter(step);
+            try (DiskLogStore store = new DiskLogStore(folder, crash)) {
+                store.load();
+                crash.armed = true;
+                change.apply(store);
+                crashed = false;
+            } catch (CrashException e) {
+                crashed = true;
+            }
+            check.accept(load(folder));
+            appendAndReload(folder, nextIndex(load(folder)));
+            step++;
+        }
+        assertThat(step).as("steps of %s", name).isGreaterThan(2);
+    }
+
+    private void prepare(Path folder) throws Exception {
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            store.load();
+            store.persist(batch(Optional.empty(), 0, entries(1, 4, 1)));
+            store.persist(snapshotBatch(2, false));
+        }
+    }
+
+    private void appendAndReload(Path folder, long index) throws Exception {
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            store.load();
+            store.persist(batch(Optional.empty(), 0, entries(index, index, 7)));
+        }
+        StoredState state = load(folder);
+        ReplicationEntry last = state.entries().get(state.entries().size() - 1);
+        assertThat(last.index()).isEqualTo(index);
+        assertThat(last.term()).isEqualTo(7);
+    }
+
+    private static long nextIndex(StoredState state) {
+        long covered = state.snapshot().map(s -> s.meta().index()).orElse(0L);
+        return covered + state.entries().size() + 1;
+    }
+
+    private static StoredState load(Path folder) throws LogStoreException {
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            return store.load();
+        }
+    }
+
+    private PersistBatch batch(
+            Optional<HardState> hardState, long truncateFrom, List<ReplicationEntry> entries) {
+        return new PersistBatch(
+                ++batchNumber, hardState, Optional.empty(), false, truncateFrom, entries);
+    }
+
+    private PersistBatch snapshotBatch(long index, boolean discardLog) {
+        long term = discardLog ? 5 : 1;
+        StoredSnapshot snapshot =
+                new StoredSnapshot(
+                        new SnapshotMeta(index, term, 1, VOTERS), new byte[] {1, 2, 3, 4});
+        return new PersistBatch(
+                ++batchNumber, Optional.empty(), Optional.of(snapshot), discardLog, 0, List.of());
+    }
+
+    private static List<ReplicationEntry> entries(long from, long to, long term) {
+        List<ReplicationEntry> entries = new ArrayList<>();
+        for (long index = from; index <= to; index++) {
+            Optional<ClusterMembership> membership =
+                    index == 1 ? Optional.of(VOTERS) : Optional.empty();
+            entries.add(new ReplicationEntry(index, term, 1, command(index, term), membership));
+        }
+        return entries;
+    }
+
+    private static List<ReplicationEntry> bigEntries(long index) {
+        byte[] command = new byte[9 * 1024 * 1024];
+        return List.of(new ReplicationEntry(index, 1, 1, command, Optional.empty()));
+    }
+
+    private static byte[] command(long index, long term) {
+        return new byte[] {(byte) index, (byte) term, 2, 0x5a};
+    }
+
+    private static List<String> indexesAndTerms(StoredState state) {
+        return state.entries().stream().map(e -> e.index() + "/" + e.term()).toList();
+    }
+
+    private static Path log(Path folder) throws IOException {
+        return files(folder).stream()
+                .filter(file -> file.getFileName().toString().startsWith("log-"))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static List<Path> files(Path folder) throws IOException {
+        try (Stream<Path> found = Files.list(folder)) {
+            return found.sorted(Comparator.naturalOrder()).toList();
+        }
+    }
+
+    private Path copy(Path folder, String name) throws IOException {
+        Path copy = Files.createDirectory(root.resolve(name));
+        for (Path file : files(folder)) {
+            Files.copy(file, copy.resolve(file.getFileName()));
+        }
+        return copy;
+    }
+
+    /** Stops the store after a number of steps. */
+    private static final class CrashAfter implements Consumer<String> {
+        private int remaining;
+        private boolean armed;
+
+        private CrashAfter(int steps) {
+            this.remaining = steps;
+        }
+
+        @Override
+        public void accept(String step) {
+            if (armed && remaining-- == 0) {
+                throw new CrashException(step);
+            }
+        }
+    }
+
+    /** Change of a store under test. */
+    @FunctionalInterface
+    private interface Change {
+        void apply(DiskLogStore store) throws LogStoreException;
+    }
+
+    /** Stands for the end of the process. */
+    private static final class CrashException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        private CrashException(String step) {
+            super(step);
+        }
+    }
+}
