--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationLog.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationLog.java
@@ -15,6 +15,9 @@
     /** Entries before a snapshot that stay in memory; about one second at the target load. */
     static final int TRAILING_ENTRIES = 2_048;
 
+    /** Bytes of such entries; answers of orders can be megabytes. */
+    static final long TRAILING_BYTES = 8 * 1024 * 1024;
+
     private SnapshotMeta snapshotMeta;
     private byte[] snapshotData;
     private long baseIndex;
@@ -118,7 +121,15 @@
         ClusterMembership membership = memberships.floorEntry(index).getValue();
         snapshotMeta = new SnapshotMeta(index, termAt(index), get(index).timeMs(), membership);
         snapshotData = data;
-        long newBase = Math.max(baseIndex, index - TRAILING_ENTRIES);
+        long newBase = index;
+        long trailingBytes = 0;
+        while (newBase > baseIndex && newBase > index - TRAILING_ENTRIES) {
+            trailingBytes += get(newBase).sizeBytes();
+            if (trailingBytes > TRAILING_BYTES) {
+                break;
+            }
+            newBase--;
+        }
         if (newBase > baseIndex) {
             long newBaseTerm = termAt(newBase);
             entries.subList(0, (int) (newBase - baseIndex)).clear();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
@@ -177,15 +177,15 @@
             return;
         }
         long revision = blackboard.control().read().revision();
-        InstanceStatus report = status.get();
-        InstanceStatus sent =
-                new InstanceStatus(
-                        self.get(),
-                        revision,
-                        report.readiness(),
-                        report.ownedRunning(),
-                        report.inFlight(),
-                        report.unreadable());
+        InstanceStatus sent;
+        try {
+            sent = report(self.get(), revision);
+        } catch (RuntimeException e) {
+            // Without a report there must still be heartbeats later.
+            LOG.errorf(e, "SAP1013 no report of %s", self.get());
+            schedule(this::poll);
+            return;
+        }
         String address = voters.get(voterPosition);
         long sentMs = clock.nowMs();
         transport
@@ -193,6 +193,17 @@
                 .whenComplete((reply, failure) -> execute(() -> answered(sentMs, reply, failure)));
     }
 
+    private InstanceStatus report(InstanceRef self, long revision) {
+        InstanceStatus report = status.get();
+        return new InstanceStatus(
+                self,
+                revision,
+                report.readiness(),
+                report.ownedRunning(),
+                report.inFlight(),
+                report.unreadable());
+    }
+
     private void answered(long sentMs, WatchReply reply, Throwable failure) {
         if (failure != null || !isOwnCluster(reply)) {
             tryNextVoter();
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
@@ -110,6 +110,38 @@
         assertThat(submit(putAccount("c1", "a", 0, 3))).isEqualTo(first);
     }
 
+    /**
+     * Guards against a snapshot whose encoded form or parts do not survive storage and transport.
+     */
+    @Test
+    void voterWithLostDiskIsCaughtUpFromASnapshot() throws Exception {
+        byte[] answer = new byte[512 * 1024];
+        InstanceRef holder = new InstanceRef(InstanceId.of("i1"), 1);
+        for (int i = 0; i < 24; i++) {
+            OrderKey key = new OrderKey(AccountId.of("a"), "refill", "k" + i);
+            answer[0] = (byte) i;
+            submit(new ControlCommand.ReserveOrder(key, "h", holder, "n" + i));
+            submit(new ControlCommand.CompleteOrder(key, "n" + i, 200, "t", answer));
+        }
+        for (String address : VOTERS) {
+            services.remove(address).stop().get(LIMIT_MS, TimeUnit.MILLISECONDS);
+            startVoter(address, address.substring(0, 2));
+            submit(putAccount("restarted " + address, address.substring(0, 2), 0, 1));
+        }
+        services.remove("v3:1").stop().get(LIMIT_MS, TimeUnit.MILLISECONDS);
+        startVoter("v3:1", "empty");
+        submitUntilVoter("v3:1");
+        services.remove("v1:1").stop().get(LIMIT_MS, TimeUnit.MILLISECONDS);
+
+        for (int i = 0; i < 24; i++) {
+            OrderKey key = new OrderKey(AccountId.of("a"), "refill", "k" + i);
+            ControlResult read = submit(new ControlCommand.ReadOrder(key));
+            assertThat(((ControlResult.OrderDone) read).answer()[0]).isEqualTo((byte) i);
+        }
+        assertThat(folder.resolve("empty").toFile().list())
+                .anyMatch(name -> name.startsWith("snapshot-"));
+    }
+
     @Test
     void silentInstanceIsEvictedAndJoinsAgainWithRetainedMemory() throws Exception {
         startWatcher("i1");
