--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
@@ -93,6 +93,9 @@
     }
 
     void learnerRequested(VoterMessage from) {
+        if (!from.clusterId().isEmpty() && !from.clusterId().equals(state.clusterId())) {
+            return;
+        }
         long now = state.clock.nowMs();
         if (!peers.containsKey(from.fromVoter())) {
             peers.put(
@@ -151,13 +154,11 @@
 
     void onSnapshotReply(VoterMessage from, SnapshotReply reply) {
         PeerProgress peer = peers.get(from.fromVoter());
-        if (peer == null
-                || reply.term() != state.term()
-                || reply.index() != peer.snapshotIndex
-                || reply.receivedBytes() < peer.snapshotOffset) {
+        if (peer == null || reply.term() != state.term() || reply.index() != peer.snapshotIndex) {
             return;
         }
         peer.lastAckMs = state.clock.nowMs();
+        // A receiver that restarted has lost the parts that it had received.
         peer.snapshotOffset = reply.receivedBytes();
         peer.inFlight = false;
     }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationLog.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationLog.java
@@ -15,6 +15,9 @@
     /** Entries before a snapshot that stay in memory; about one second at the target load. */
     static final int TRAILING_ENTRIES = 2_048;
 
+    /** Bytes of such entries; answers of orders can be megabytes. */
+    static final long TRAILING_BYTES = 8 * 1024 * 1024;
+
     private SnapshotMeta snapshotMeta;
     private byte[] snapshotData;
     private long baseIndex;
@@ -49,6 +52,12 @@
         return lastIndex() == 0;
     }
 
+    /** Tells whether a log with this end is at least as far as this log. */
+    boolean isCoveredBy(long otherLastIndex, long otherLastTerm) {
+        return otherLastTerm > lastTerm()
+                || otherLastTerm == lastTerm() && otherLastIndex >= lastIndex();
+    }
+
     /** Returns the term of an entry, or -1 if the entry is not in memory. */
     long termAt(long index) {
         if (index == baseIndex) {
@@ -112,7 +121,15 @@
         ClusterMembership membership = memberships.floorEntry(index).getValue();
         snapshotMeta = new SnapshotMeta(index, termAt(index), get(index).timeMs(), membership);
         snapshotData = data;
-        long newBase = Math.max(baseIndex, index - TRAILING_ENTRIES);
+        long newBase = index;
+        long trailingBytes = 0;
+        while (newBase > baseIndex && newBase > index - TRAILING_ENTRIES) {
+            trailingBytes += get(newBase).sizeBytes();
+            if (trailingBytes > TRAILING_BYTES) {
+                break;
+            }
+            newBase--;
+        }
         if (newBase > baseIndex) {
             long newBaseTerm = termAt(newBase);
             entries.subList(0, (int) (newBase - baseIndex)).clear();
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
@@ -101,21 +101,13 @@
         }
         if (message.message() instanceof FormationQuery query) {
             formation.onQuery(message, query);
-            return;
-        }
-        if (message.message() instanceof FormationReply reply) {
+        } else if (message.message() instanceof FormationReply reply) {
             formation.onReply(message, reply);
-            return;
-        }
-        if (message.message() instanceof LearnerRequest) {
-            if (leader != null
-                    && (message.clusterId().isEmpty()
-                            || message.clusterId().equals(state.clusterId()))) {
+        } else if (message.message() instanceof LearnerRequest) {
+            if (leader != null) {
                 leader.learnerRequested(message);
             }
-            return;
-        }
-        if (isForThisNode(message)) {
+        } else if (isForThisNode(message)) {
             dispatch(message);
         }
     }
@@ -177,7 +169,7 @@
     }
 
     /**
-     * Asks the most up-to-date active voter to take over the leadership.
+     * Asks the most up-to-date active voter to take over.
      *
      * @return whether a voter was asked
      */
@@ -244,6 +236,11 @@
         return Optional.ofNullable(leader).map(LeaderState::term);
     }
 
+    /** Returns whether this node leads and has committed an entry of its own term. */
+    public boolean hasCommittedInTerm() {
+        return leader != null && leader.hasCommitted();
+    }
+
     /** Returns the address of the leader as far as it is known, else an empty string. */
     public String leaderAddress() {
         return leader != null ? state.settings.address() : leaderAddress;
@@ -279,6 +276,11 @@
         return state.log.snapshotMeta().index();
     }
 
+    /** Returns whether the newest change of the voters is committed. */
+    public boolean isMembershipCommitted() {
+        return state.log.membershipIndex() <= state.commitIndex();
+    }
+
     /** Returns the voters in the newest entry that names them, committed or not. */
     public ClusterMembership membership() {
         return state.log.membership();
@@ -346,9 +348,8 @@
             return;
         }
         long term = preVote ? state.term() + 1 : state.term();
-        VoteRequest request =
-                new VoteRequest(
-                        preVote, term, state.log.lastIndex(), state.log.lastTerm(), transfer);
+        long index = state.log.lastIndex();
+        VoteRequest request = new VoteRequest(preVote, term, index, state.log.lastTerm(), transfer);
         state.log
                 .membership()
                 .voters()
@@ -383,10 +384,7 @@
             reply(from, new VoteReply(request.preVote(), state.term(), false));
             return;
         }
-        boolean upToDate =
-                request.lastTerm() > state.log.lastTerm()
-                        || request.lastTerm() == state.log.lastTerm()
-                                && request.lastIndex() >= state.log.lastIndex();
+        boolean upToDate = state.log.isCoveredBy(request.lastIndex(), request.lastTerm());
         if (request.preVote()) {
             boolean granted = upToDate && request.term() > state.term();
             long term = granted ? request.term() : state.term();
@@ -427,7 +425,8 @@
 
     private void onAppend(VoterMessage from, AppendRequest request) {
         if (request.term() < state.term()) {
-            reply(from, new AppendReply(state.term(), false, 0, request.round()));
+            // The round belongs to an older term and must not confirm one of the current leader.
+            reply(from, new AppendReply(state.term(), false, state.log.lastIndex(), 0));
             return;
         }
         acceptLeader(from, request.term());
@@ -465,9 +464,7 @@
     }
 
     private void stepDownIfRemoved() {
-        if (leader != null
-                && !state.isVoter()
-                && state.log.membershipIndex() <= state.commitIndex()) {
+        if (leader != null && !state.isVoter() && isMembershipCommitted()) {
             becomeFollower(state.term(), "");
         }
     }
