--- a/sapphire-core/src/main/java/io/sapphirestack/core/limit/AccountLimiter.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/limit/AccountLimiter.java
@@ -21,8 +21,8 @@
  * <p>What is left of a limit is divided among the instances: each gets an even part, and half of it
  * again in proportion to demand. Own demand is taken from {@code MAX_LAG_MS} ago, when the others
  * know it too; a sudden burst at all instances is therefore divided evenly. An instance uses up its
- * part at most once in {@code MAX_LAG_MS}, until the others see what it admitted. The sum over all
- * instances stays below twice the limit plus one per instance; a limit below the number of
+ * part at most once within any {@code MAX_LAG_MS}, until the others see what it admitted. The sum
+ * over all instances stays below twice the limit plus one per instance; a limit below the number of
  * instances cannot be divided into whole requests, so each instance may admit one. Thread-safe;
  * each account has its own short lock.
  */
@@ -170,9 +170,8 @@
         private final DecayingRate demand;
         private final DecayingRate admitted;
         private final DemandHistory history;
+        private final RecentCount recent = new RecentCount();
         private int concurrent;
-        private long windowStartMs = Long.MIN_VALUE / 2;
-        private double windowLeft;
         private double requestTokens = 1;
         private long refilledMs;
         private long usedMs;
@@ -188,14 +187,13 @@
         synchronized boolean tryGeneration(
                 long nowMs, int limit, AccountUsage elsewhere, int instances) {
             int left = limit - concurrent - elsewhere.concurrent();
-            if (nowMs - windowStartMs >= MAX_LAG_MS) {
-                windowStartMs = nowMs;
-                windowLeft = Math.max(1, left * share(nowMs, elsewhere, instances));
-            }
-            if (left <= 0 || windowLeft < 1) {
+            int unseen = recent.countAt(nowMs);
+            // What was left before the admissions that the others do not see yet.
+            double part = (left + unseen) * share(nowMs, elsewhere, instances);
+            if (left <= 0 || unseen + 1 > Math.max(1, part)) {
                 return false;
             }
-            windowLeft -= 1;
+            recent.add(nowMs);
             concurrent++;
             return true;
         }
@@ -227,7 +225,7 @@
         }
 
         private double share(long nowMs, AccountUsage elsewhere, int instances) {
-            double own = history.perSAt(nowMs - MAX_LAG_MS);
+            double own = history.knownToAllPerS(nowMs);
             double total = own + elsewhere.demandPerS();
             double byDemand = total > 0 ? own / total : 0;
             return Math.min(1, 1.0 / instances + 0.5 * byDemand);
@@ -250,10 +248,44 @@
         }
     }
 
-    /** Past demand in steps of a quarter of the lag. */
+    /** Admissions within the longest lag, which the other instances may not see yet. */
+    private static final class RecentCount {
+        private static final int BUCKETS = 10;
+        private static final long BUCKET_MS = MAX_LAG_MS / 8;
+
+        private final int[] counts = new int[BUCKETS];
+        private long lastBucket = Long.MIN_VALUE / BUCKET_MS;
+
+        private void advance(long nowMs) {
+            long bucket = Math.floorDiv(nowMs, BUCKET_MS);
+            for (long b = Math.max(lastBucket + 1, bucket - BUCKETS + 1); b <= bucket; b++) {
+                counts[Math.floorMod(b, BUCKETS)] = 0;
+            }
+            lastBucket = Math.max(lastBucket, bucket);
+        }
+
+        void add(long nowMs) {
+            advance(nowMs);
+            counts[Math.floorMod(lastBucket, BUCKETS)]++;
+        }
+
+        int countAt(long nowMs) {
+            advance(nowMs);
+            int sum = 0;
+            for (int count : counts) {
+                sum += count;
+            }
+            return sum;
+        }
+    }
+
+    /**
+     * Past demand. A step holds the last value within it, so the step that is used must have ended
+     * before the longest lag; a newer value would let every instance take a burst for its own.
+     */
     private static final class DemandHistory {
-        private static final int STEPS = 5;
-        private static final long STEP_MS = MAX_LAG_MS / (STEPS - 1);
+        private static final int STEPS = 7;
+        private static final long STEP_MS = MAX_LAG_MS / 4;
 
         private final double[] perS = new double[STEPS];
         private long lastStep;
@@ -279,9 +311,9 @@
             lastStep = Math.max(lastStep, step);
         }
 
-        double perSAt(long timeMs) {
-            advance(timeMs + MAX_LAG_MS);
-            return perS[Math.floorMod(Math.floorDiv(timeMs, STEP_MS), STEPS)];
+        double knownToAllPerS(long nowMs) {
+            advance(nowMs);
+            return perS[Math.floorMod(lastStep - (STEPS - 1), STEPS)];
         }
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/ModelController.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/ModelController.java
@@ -436,6 +436,7 @@
     private void abandon(EndpointId id, Slot slot) {
         synchronized (lock) {
             slot.order = null;
+            slot.sent = false;
             if (slot.slotTerm == term) {
                 pacer.end(id);
             }
