Test the registry, the spread service and the model controller

Cause: merge rules, anti-entropy and orders of overlapping leaders were unverified. Change: adds sequences over fake transports, a fake control log, and engines that check or ignore the fencing token.

--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/ModelControllerTests.java
@@ -0,0 +1,446 @@
+package io.sapphirestack.runtime.endpoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sapphirestack.core.control.ControlCommand;
+import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.control.EndpointOrder;
+import io.sapphirestack.core.control.FleetStatus;
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.membership.EndpointLoad;
+import io.sapphirestack.core.record.ModelPin;
+import io.sapphirestack.core.record.ModelSpec;
+import io.sapphirestack.core.record.ObjectivesSpec;
+import io.sapphirestack.core.record.ResumeSpec;
+import io.sapphirestack.core.record.ServiceSpec;
+import io.sapphirestack.core.record.ServiceType;
+import io.sapphirestack.core.record.WeightStoreSpec;
+import io.sapphirestack.core.routing.EndpointState;
+import io.sapphirestack.core.routing.EndpointTable;
+import io.sapphirestack.runtime.control.ControlClient;
+import io.sapphirestack.runtime.control.ControlException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against orders of two leaders at once and against overload of the weight store. */
+class ModelControllerTests {
+    private static final ModelPin PIN = new ModelPin("m", "", "1");
+    private static final long WEIGHT_BYTES = 10_000;
+    private static final WeightStoreSpec STORE = new WeightStoreSpec(10_000, 3);
+
+    private long nowMs = 1_000_000;
+    private Random random = new Random(1);
+    private boolean fencing = true;
+    private int replicas = 25;
+    private final Map<EndpointId, Engine> engines = new HashMap<>();
+    private final Set<EndpointId> stopping = new HashSet<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(java.util.Comparator.comparingLong(Event::atMs));
+
+    private final Map<EndpointId, Long> outstanding = new HashMap<>();
+    private long logIndex;
+
+    /** Share of control and engine calls that fail or whose answer is lost, in percent. */
+    private int failurePercent;
+
+    private final List<Long> loadStartsMs = new ArrayList<>();
+    private int loadsAtOnce;
+    private int mostLoadsAtOnce;
+
+    private record Event(long atMs, Runnable action) {}
+
+    private void later(long delayMs, Runnable action) {
+        events.add(new Event(nowMs + delayMs, action));
+    }
+
+    /** Engine that loads for one second at the store's full rate. */
+    private final class Engine {
+        private final EndpointId id;
+        private final Set<ModelPin> loaded = new HashSet<>();
+        private final Set<ModelPin> loading = new HashSet<>();
+        private long highestToken;
+
+        Engine(EndpointId id) {
+            this.id = id;
+        }
+
+        EngineOrderClient.OrderReply receive(long token, EndpointOrder order) {
+            if (fencing && token < highestToken) {
+                return EngineOrderClient.OrderReply.FENCED;
+            }
+            highestToken = Math.max(highestToken, token);
+            if (order.action() == EndpointOrder.Action.UNLOAD) {
+                loaded.remove(order.pin());
+            } else if (!loaded.contains(order.pin()) && loading.add(order.pin())) {
+                loadStartsMs.add(nowMs);
+                loadsAtOnce++;
+                mostLoadsAtOnce = Math.max(mostLoadsAtOnce, loadsAtOnce);
+                later(
+                        order.weightBytes() * 1_000 / STORE.bytesPerS(),
+                        () -> {
+                            loadsAtOnce--;
+                            loading.remove(order.pin());
+                            loaded.add(order.pin());
+                        });
+            }
+            return EngineOrderClient.OrderReply.ACCEPTED;
+        }
+
+        EndpointState state() {
+            return new EndpointState(
+                    id,
+                    "scribe",
+                    id.value(),
+                    "az1",
+                    1,
+                    loaded,
+                    new EndpointLoad(0, 0, 8, 0),
+                    nowMs);
+        }
+    }
+
+    /** Control log that grants one outstanding order per engine, like the state machine. */
+    private final ControlClient control =
+            new ControlClient() {
+                @Override
+                public CompletableFuture<ControlResult> submit(
+                        ControlCommand command, long timeoutMs) {
+                    CompletableFuture<ControlResult> result = new CompletableFuture<>();
+                    boolean lost = random.nextInt(100) < failurePercent;
+                    boolean answerLost = random.nextInt(100) < failurePercent;
+                    later(
+                            10 + random.nextInt(30),
+                            () -> {
+                                ControlResult applied = lost ? null : apply(command);
+                                if (lost || answerLost) {
+                                    result.completeExceptionally(
+                                            new ControlException("submit", "v", "x", true, null));
+                                } else {
+                                    result.complete(applied);
+                                }
+                            });
+                    return result;
+                }
+
+                @Override
+                public CompletableFuture<FleetStatus> fleet(long timeoutMs) {
+                    throw new UnsupportedOperationException();
+                }
+            };
+
+    private ControlResult apply(ControlCommand command) {
+        logIndex++;
+        if (command instanceof ControlCommand.IssueEndpointOrder issue) {
+            Long token = outstanding.putIfAbsent(issue.endpoint(), logIndex);
+            return token == null
+                    ? new ControlResult.EndpointOrderIssued(logIndex)
+                    : new ControlResult.EndpointOrderOutstanding(token);
+        }
+        ControlCommand.CompleteEndpointOrder done = (ControlCommand.CompleteEndpointOrder) command;
+        outstanding.remove(done.endpoint(), done.fencingToken());
+        return new ControlResult.Applied(logIndex);
+    }
+
+    /** One instance that may be leader. */
+    private final class Leader {
+        private LeaderLease lease = LeaderLease.NONE;
+        private boolean paused;
+        private final List<Runnable> heldBack = new ArrayList<>();
+        private final ModelController controller =
+                new ModelController(
+                        control,
+                        () -> lease,
+                        ModelControllerTests.this::table,
+                        s -> Optional.of(service()),
+                        () -> List.of(new ModelSpec("scribe", PIN, replicas, WEIGHT_BYTES)),
+                        () -> Optional.of(STORE),
+                        stopping::contains,
+                        new Client(this),
+                        () -> nowMs);
+
+        /** Runs now, or when the process is continued. */
+        void run(Runnable action) {
+            if (paused) {
+                heldBack.add(action);
+            } else {
+                action.run();
+            }
+        }
+
+        void resume() {
+            paused = false;
+            List<Runnable> actions = new ArrayList<>(heldBack);
+            heldBack.clear();
+            actions.forEach(Runnable::run);
+        }
+    }
+
+    private final class Client implements EngineOrderClient {
+        private final Leader leader;
+
+        Client(Leader leader) {
+            this.leader = leader;
+        }
+
+        @Override
+        public CompletableFuture<OrderReply> send(
+                String address, long token, EndpointOrder order, BooleanSupplier mayBeSent) {
+            CompletableFuture<OrderReply> result = new CompletableFuture<>();
+            boolean answerLost = random.nextInt(100) < failurePercent;
+            long travelMs = random.nextInt((int) HttpEngineOrderClient.ORDER_TIMEOUT_MS / 4);
+            later(
+                    random.nextInt(20),
+                    () ->
+                            leader.run(
+                                    () ->
+                                            start(
+                                                    mayBeSent,
+                                                    travelMs,
+                                                    () -> {
+                                                        OrderReply reply =
+                                                                engines.get(EndpointId.of(address))
+                                                                        .receive(token, order);
+                                                        if (answerLost) {
+                                                            result.completeExceptionally(
+                                                                    new EndpointException(
+                                                                            "receive", address, "x",
+                                                                            true, true, null));
+                                                        } else {
+                                                            result.complete(reply);
+                                                        }
+                                                    },
+                                                    result)));
+            return result;
+        }
+
+        private void start(
+                BooleanSupplier mayBeSent,
+                long travelMs,
+                Runnable arrival,
+                CompletableFuture<OrderReply> result) {
+            if (mayBeSent.getAsBoolean()) {
+                later(travelMs, arrival);
+            } else {
+                result.complete(OrderReply.NOT_SENT);
+            }
+        }
+
+        @Override
+        public CompletableFuture<EngineState> state(String address) {
+            CompletableFuture<EngineState> result = new CompletableFuture<>();
+            boolean lost = random.nextInt(100) < failurePercent;
+            later(
+                    5,
+                    () -> {
+                        Engine engine = engines.get(EndpointId.of(address));
+                        if (lost) {
+                            result.completeExceptionally(
+                                    new EndpointException("x", address, "x", true, true, null));
+                        } else {
+                            result.complete(
+                                    new EngineState(
+                                            List.copyOf(engine.loaded),
+                                            List.copyOf(engine.loading),
+                                            "",
+                                            engine.highestToken,
+                                            0,
+                                            0));
+                        }
+                    });
+            return result;
+        }
+    }
+
+    private ServiceSpec service() {
+        return new ServiceSpec(
+                ServiceType.ENGINE,
+                "x",
+                fencing,
+                false,
+                0,
+                1_000,
+                5_000,
+                ResumeSpec.DEFAULT,
+                ObjectivesSpec.DEFAULT);
+    }
+
+    private EndpointTable table() {
+        Map<EndpointId, EndpointState> states = new HashMap<>();
+        engines.values().forEach(e -> states.put(e.id, e.state()));
+        return new EndpointTable(states);
+    }
+
+    private void addEngines(int count) {
+        for (int i = 0; i < count; i++) {
+            EndpointId id = EndpointId.of("e" + i);
+            engines.put(id, new Engine(id));
+        }
+    }
+
+    /** Advances time; each leader that is not paused makes a step every half second. */
+    private void advance(long durationMs, Leader... leaders) {
+        long untilMs = nowMs + durationMs;
+        while (nowMs < untilMs) {
+            if (nowMs % ModelController.TICK_MS == 0) {
+                for (Leader leader : leaders) {
+                    leader.run(leader.controller::tick);
+                }
+            }
+            nowMs += 5;
+            while (!events.isEmpty() && events.peek().atMs() <= nowMs) {
+                events.poll().action().run();
+            }
+        }
+    }
+
+    private void lead(Leader leader, long term, long durationMs) {
+        leader.lease = new LeaderLease(term, nowMs + durationMs);
+    }
+
+    private void assertStoreLimitsHeld() {
+        assertThat(mostLoadsAtOnce).isLessThanOrEqualTo(STORE.maxConcurrentLoads());
+        // Orders travel up to half a second, so the bytes are checked with that allowance.
+        for (int i = 0; i < loadStartsMs.size(); i++) {
+            for (int j = i + 1; j < loadStartsMs.size(); j++) {
+                long bytes = (j - i) * WEIGHT_BYTES;
+                long allowedMs = loadStartsMs.get(j) - loadStartsMs.get(i) + 600;
+                assertThat(bytes * 1_000).isLessThanOrEqualTo(STORE.bytesPerS() * allowedMs);
+            }
+        }
+    }
+
+    private long loadedCount() {
+        return engines.values().stream().filter(e -> e.loaded.contains(PIN)).count();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void twentyFiveReplicasLoadWithinTheStoreLimits(boolean checked) {
+        fencing = checked;
+        addEngines(25);
+        Leader leader = new Leader();
+        lead(leader, 1, 1_000_000);
+        advance(80_000, leader);
+        assertThat(loadedCount()).isEqualTo(25);
+        assertStoreLimitsHeld();
+        assertThat(outstanding).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void newLeaderWaitsForOrdersOfTheOldOneAndCountsItsLoads(boolean checked) {
+        fencing = checked;
+        addEngines(25);
+        Leader first = new Leader();
+        Leader second = new Leader();
+        lead(first, 1, 6_000);
+        advance(5_500, first, second);
+        long startsBefore = loadStartsMs.size();
+        assertThat(startsBefore).isPositive();
+        lead(second, 2, 1_000_000);
+        advance(1_000, first, second);
+        first.lease = LeaderLease.NONE;
+        advance(1_900, first, second);
+        assertThat(loadStartsMs.size()).isBetween((int) startsBefore, (int) startsBefore + 2);
+        advance(80_000, first, second);
+        assertThat(loadedCount()).isEqualTo(25);
+        assertThat(mostLoadsAtOnce).isLessThanOrEqualTo(STORE.maxConcurrentLoads());
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void pausedLeaderThatWakesSendsNothing(boolean checked) {
+        fencing = checked;
+        addEngines(5);
+        replicas = 5;
+        Leader first = new Leader();
+        Leader second = new Leader();
+        lead(first, 1, 4_510);
+        advance(4_010, first, second);
+        first.paused = true;
+        advance(2_000, first, second);
+        replicas = 0;
+        lead(second, 2, 1_000_000);
+        advance(6_000, first, second);
+        int starts = loadStartsMs.size();
+        first.resume();
+        advance(10_000, first, second);
+        assertThat(loadStartsMs).hasSize(starts);
+    }
+
+    @Test
+    void stoppingEngineIsNotLoadedAndSurplusIsUnloaded() {
+        addEngines(4);
+        replicas = 2;
+        stopping.add(EndpointId.of("e0"));
+        engines.values().forEach(e -> e.loaded.add(PIN));
+        Leader leader = new Leader();
+        lead(leader, 1, 1_000_000);
+        advance(20_000, leader);
+        assertThat(loadedCount()).as("two wanted and the stopping one").isEqualTo(3);
+        stopping.add(EndpointId.of("e1"));
+        stopping.add(EndpointId.of("e2"));
+        stopping.add(EndpointId.of("e3"));
+        assertThat(loadStartsMs).isEmpty();
+    }
+
+    @Test
+    void instanceWithoutLeaseGivesNoOrders() {
+        addEngines(3);
+        Leader leader = new Leader();
+        advance(20_000, leader);
+        assertThat(logIndex).isZero();
+    }
+
+    /** Leaders change, overlap, pause and wake while calls fail; the state converges afterwards. */
+    @Property(seed = "3711", tries = 40)
+    void stateConvergesAndTheStoreIsNotOverloaded(@ForAll long seed) {
+        random = new Random(seed);
+        fencing = random.nextBoolean();
+        addEngines(8);
+        replicas = 8;
+        List<Leader> leaders = List.of(new Leader(), new Leader(), new Leader());
+        Leader[] all = leaders.toArray(new Leader[0]);
+        for (int term = 1; term <= 6; term++) {
+            failurePercent = random.nextInt(40);
+            Leader next = leaders.get(random.nextInt(3));
+            next.resume();
+            // The next term starts when the old lease may have up to a second left.
+            lead(next, term, 1_000 + random.nextInt(9_000));
+            long leadMs = next.lease.validUntilMs() - nowMs;
+            advance(leadMs - random.nextInt(1_000), all);
+            leaders.get(random.nextInt(3)).paused = true;
+        }
+        failurePercent = 0;
+        leaders.forEach(l -> l.lease = LeaderLease.NONE);
+        leaders.forEach(Leader::resume);
+        lead(leaders.get(0), 7, 1_000_000);
+        advance(60_000, all);
+        assertThat(loadedCount()).isEqualTo(8);
+        assertThat(mostLoadsAtOnce).isLessThanOrEqualTo(STORE.maxConcurrentLoads());
+        // An order whose leader was lost before it could report the result stays outstanding. It
+        // must
+        // not block later orders to the same engine.
+        replicas = 4;
+        advance(20_000, all);
+        assertThat(loadedCount()).isEqualTo(4);
+        replicas = 8;
+        advance(40_000, all);
+        assertThat(loadedCount()).isEqualTo(8);
+        assertThat(mostLoadsAtOnce).isLessThanOrEqualTo(STORE.maxConcurrentLoads());
+    }
+}
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/SpreadServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/SpreadServiceTests.java
@@ -267,6 +267,9 @@
         }
         lossPercent = 0;
         members.forEach(m -> m.see(members));
+        // Exchanges repair lives and details. A load that was queued for a former neighbour is only
+        // renewed by the next announcement, so the last ones are made in the final tree.
+        round();
         newest.replaceAll(
                 (id, a) -> announcement(id, a.epochMs(), a.sequence() + 1, version(a), List.of()));
         newest.forEach(
