--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/StandIns.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/StandIns.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.standins;
 
+import io.sapphirestack.standins.demo.DemoCommand;
 import io.sapphirestack.standins.engine.EngineCommand;
 import io.sapphirestack.standins.service.ServiceCommand;
 import io.sapphirestack.standins.weights.WeightsCommand;
@@ -46,6 +47,12 @@
                 "run a weight store",
                 WeightsCommand::addTo,
                 WeightsCommand::run);
+        add(
+                subparsers,
+                "demo",
+                "show the system under faults",
+                DemoCommand::addTo,
+                DemoCommand::run);
         Namespace arguments;
         try {
             arguments = parser.parseArgs(args);
