Report a refused generation in the demonstration at once

Cause: a refused generation was reported as a time-out while waiting for its first tokens. Change: the wait ends when a generation has failed, and the row shows the refusal.

--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/CheckedGeneration.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/CheckedGeneration.java
@@ -74,6 +74,10 @@
         return id().isEmpty() ? "" : id().split("-")[1];
     }
 
+    boolean hasFailed() {
+        return !fault.get().isEmpty();
+    }
+
     long received() {
         return received.get();
     }
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/DemoWorld.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/DemoWorld.java
@@ -41,7 +41,7 @@
                 "first-tokens",
                 "generations",
                 START_TIMEOUT_MS,
-                () -> generations.stream().allMatch(g -> g.received() >= tokensToWaitFor));
+                () -> generations.stream().allMatch(g -> g.received() >= tokensToWaitFor || g.hasFailed()));
         return generations;
     }
 
