Add the HTTP interface for callers, endpoints and operators

Callers, endpoints and operators need the contract of docs/api.md at every instance. The frontend serves each connection on a thread of its own with HttpCore's classic service; streams, reads and orders are bounded separately. Tokens are pulled as the caller reads; a read that takes long runs beside the stream, so that keep-alives go on. An answer without stream above 64 Ki characters is written in parts instead of being collected. Metrics use the Prometheus client with a fixed set of labels.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/WorkerPool.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/WorkerPool.java
@@ -1,4 +1,4 @@
-package io.sapphirestack.runtime.transport;
+package io.sapphirestack.runtime.concurrent;
 
 import java.util.concurrent.LinkedTransferQueue;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -9,13 +9,20 @@
  * Executor that uses an idle thread if there is one, else a new thread up to a limit, and only then
  * queues. The JDK's pool queues before it grows, so one blocked task could delay all others.
  */
-final class WorkerPool {
+public final class WorkerPool {
 
     private static final long KEEP_ALIVE_S = 10;
 
     private WorkerPool() {}
 
-    static ThreadPoolExecutor create(String name, int maxThreads) {
+    /**
+     * Creates an executor of daemon threads.
+     *
+     * @param name prefix of the thread names
+     * @param maxThreads most threads at a time; further tasks wait
+     * @return an executor whose idle threads end after 10 s
+     */
+    public static ThreadPoolExecutor create(String name, int maxThreads) {
         AtomicLong number = new AtomicLong();
         ThreadPoolExecutor pool =
                 new ThreadPoolExecutor(
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/package-info.java
@@ -0,0 +1,2 @@
+/** Executors that several parts use. */
+package io.sapphirestack.runtime.concurrent;
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/FleetHandlers.java
@@ -0,0 +1,216 @@
+package io.sapphirestack.runtime.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sapphirestack.core.control.ControlView;
+import io.sapphirestack.core.control.FleetStatus;
+import io.sapphirestack.core.control.InstanceInfo;
+import io.sapphirestack.core.control.InstanceStatus;
+import io.sapphirestack.core.error.RefusedException;
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.id.InstanceId;
+import io.sapphirestack.core.record.ConfigRecord;
+import io.sapphirestack.core.record.StopSpec;
+import io.sapphirestack.core.record.StopTarget;
+import io.sapphirestack.core.routing.EndpointState;
+import java.io.IOException;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** Handlers of the fleet status and of the wait for a revision. Thread-safe. */
+final class FleetHandlers {
+
+    private static final long FLEET_TIMEOUT_MS = 2_000;
+    private static final long DEFAULT_WAIT_MS = 10_000;
+    private static final long MAX_WAIT_MS = 60_000;
+
+    // Instances report every 500 ms at the latest, so asking more often shows nothing new.
+    private static final long POLL_MS = 100;
+
+    private final FrontendServices services;
+    private final Authenticator authenticator;
+    private final ControlCalls control;
+    private final ForceTracker tracker;
+
+    FleetHandlers(FrontendServices services, Authenticator authenticator, ControlCalls control) {
+        this.services = services;
+        this.authenticator = authenticator;
+        this.control = control;
+        this.tracker = new ForceTracker(services.clock());
+        services.blackboard().control().addListener(tracker::observe);
+    }
+
+    void addTo(RouteTable routes) {
+        routes.add("GET", "/admin/v1/fleet", this::fleet)
+                .add("GET", "/admin/v1/revision", this::revision);
+    }
+
+    private ApiResponse revision(ApiRequest request) throws RefusedException, IOException {
+        authenticator.operator(request);
+        OptionalLong waitFor = request.queryNumber("waitFor", 0, Long.MAX_VALUE);
+        long timeoutMs = request.queryNumber("timeoutMs", 0, MAX_WAIT_MS).orElse(DEFAULT_WAIT_MS);
+        long startedAtMs = request.receivedAtMs();
+        long acceptedAtMs = -1;
+        while (true) {
+            FleetStatus fleet = control.fleet(FLEET_TIMEOUT_MS);
+            long wanted = waitFor.orElse(fleet.revision());
+            long nowMs = services.clock().nowMs();
+            boolean accepted = fleet.revision() >= wanted;
+            if (accepted && acceptedAtMs < 0) {
+                // The change was accepted by now at the latest, so its 3 s end no later than this.
+                acceptedAtMs = nowMs;
+            }
+            Set<String> behind = tracker.behind(view(), fleet, wanted);
+            boolean inForce =
+                    accepted && (behind.isEmpty() || nowMs - acceptedAtMs >= ForceTracker.LEASE_MS);
+            if (inForce || waitFor.isEmpty() || nowMs - startedAtMs >= timeoutMs) {
+                ObjectNode body =
+                        ApiJson.MAPPER
+                                .createObjectNode()
+                                .put("revision", fleet.revision())
+                                .put("inForce", inForce);
+                body.set("behind", ApiJson.MAPPER.valueToTree(behind));
+                return ApiResponse.json(200, body);
+            }
+            pause();
+        }
+    }
+
+    private static void pause() throws IOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while waiting for a revision", e);
+        }
+    }
+
+    private ApiResponse fleet(ApiRequest request) throws RefusedException {
+        authenticator.operator(request);
+        FleetStatus fleet = control.fleet(FLEET_TIMEOUT_MS);
+        ControlView view = view();
+        ObjectNode body =
+                ApiJson.MAPPER
+                        .createObjectNode()
+                        .put("leader", fleet.leader())
+                        .put("revision", fleet.revision());
+        addInstances(body.putArray("instances"), view, fleet);
+        addEndpoints(body.putArray("endpoints"));
+        addStops(body.putArray("stops"), view, fleet);
+        return ApiResponse.json(200, body);
+    }
+
+    private static void addInstances(ArrayNode target, ControlView view, FleetStatus fleet) {
+        Map<InstanceId, InstanceStatus> reports = reports(fleet);
+        view.instances().values().stream()
+                .sorted(Comparator.comparing(InstanceInfo::ref))
+                .forEach(
+                        info -> {
+                            ObjectNode node =
+                                    target.addObject()
+                                            .put("id", info.ref().id().value())
+                                            .put("incarnation", info.ref().incarnation())
+                                            .put("availabilityZone", info.availabilityZone())
+                                            .put("httpAddress", info.httpAddress());
+                            addReport(node, reports.get(info.ref().id()));
+                        });
+    }
+
+    private static void addReport(ObjectNode node, InstanceStatus report) {
+        node.put("appliedRevision", report == null ? 0 : report.appliedRevision())
+                .put("readiness", report == null ? "UNKNOWN" : report.readiness().name())
+                .put("ownedRunning", report == null ? 0 : report.ownedRunning());
+        node.set(
+                "unreadable",
+                ApiJson.MAPPER.valueToTree(report == null ? List.of() : report.unreadable()));
+    }
+
+    private static Map<InstanceId, InstanceStatus> reports(FleetStatus fleet) {
+        return fleet.instances().stream()
+                .collect(
+                        Collectors.toMap(
+                                status -> status.ref().id(),
+                                Function.identity(),
+                                (a, b) -> a.ref().incarnation() > b.ref().incarnation() ? a : b));
+    }
+
+    private void addEndpoints(ArrayNode target) {
+        services.blackboard().endpoints().read().byId().values().stream()
+                .sorted(Comparator.comparing(EndpointState::id))
+                .forEach(
+                        endpoint -> {
+                            ObjectNode node =
+                                    target.addObject()
+                                            .put("id", endpoint.id().value())
+                                            .put("service", endpoint.service())
+                                            .put("address", endpoint.address())
+                                            .put("availabilityZone", endpoint.availabilityZone());
+                            node.set(
+                                    "models",
+                                    ApiJson.MAPPER.<JsonNode>valueToTree(
+                                            endpoint.models().stream()
+                                                    .sorted(Comparator.comparing(Object::toString))
+                                                    .collect(Collectors.toList())));
+                            node.put("running", endpoint.load().running())
+                                    .put("queued", endpoint.load().queued());
+                        });
+    }
+
+    private void addStops(ArrayNode target, ControlView view, FleetStatus fleet) {
+        view.records().values().stream()
+                .filter(record -> record.key().kind().equals("stop"))
+                .sorted(Comparator.comparing(ConfigRecord::key))
+                .forEach(
+                        record -> {
+                            Optional<StopSpec> spec = services.specs().stop(record);
+                            if (spec.isPresent()) {
+                                addStop(target, record, spec.get(), view, fleet);
+                            }
+                        });
+    }
+
+    private static void addStop(
+            ArrayNode target,
+            ConfigRecord record,
+            StopSpec spec,
+            ControlView view,
+            FleetStatus fleet) {
+        long inFlight;
+        boolean stopped;
+        if (spec.target() == StopTarget.ENDPOINT) {
+            EndpointId endpoint = EndpointId.of(spec.id());
+            inFlight =
+                    fleet.instances().stream()
+                            .mapToLong(status -> status.inFlight().getOrDefault(endpoint, 0))
+                            .sum();
+            boolean known =
+                    fleet.instances().size() >= view.instances().size()
+                            && fleet.instances().stream()
+                                    .allMatch(
+                                            status ->
+                                                    status.appliedRevision() >= record.revision());
+            stopped = known && inFlight == 0;
+        } else {
+            InstanceId instance = InstanceId.of(spec.id());
+            InstanceStatus report = reports(fleet).get(instance);
+            inFlight = report == null ? 0 : report.ownedRunning();
+            stopped = !view.instances().containsKey(instance);
+        }
+        target.addObject()
+                .put("name", record.key().name())
+                .put("state", stopped ? "stopped" : "draining")
+                .put("inFlight", inFlight);
+    }
+
+    private ControlView view() {
+        return services.blackboard().control().read();
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/ReasonPhrases.java
@@ -0,0 +1,15 @@
+package io.sapphirestack.runtime.http;
+
+import java.util.Locale;
+import org.apache.hc.core5.http.impl.EnglishReasonPhraseCatalog;
+
+/** Titles of HTTP status codes. */
+final class ReasonPhrases {
+
+    private ReasonPhrases() {}
+
+    static String of(int status) {
+        String phrase = EnglishReasonPhraseCatalog.INSTANCE.getReason(status, Locale.ROOT);
+        return phrase == null ? "Status " + status : phrase;
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
@@ -0,0 +1,232 @@
+package io.sapphirestack.runtime.http;
+
+import io.sapphirestack.core.error.RanState;
+import io.sapphirestack.core.error.Refusal;
+import io.sapphirestack.core.error.RefusedException;
+import io.sapphirestack.runtime.metrics.EventLog;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.io.HttpServerRequestHandler;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityTemplate;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.net.WWWFormCodec;
+
+/** Matches requests to routes, runs the handlers and sends what they return. Thread-safe. */
+final class RequestDispatcher implements HttpServerRequestHandler {
+
+    private static final EventLog LOG = EventLog.of(RequestDispatcher.class);
+
+    // A refused body is read on up to this size, because closing early would reset the connection
+    // before the caller has read the refusal.
+    private static final int MAX_DISCARDED_BYTES = 16 * 1024 * 1024;
+
+    private final RouteTable routes;
+    private final FrontendServices services;
+    private final int maxBodyBytes;
+    private final AtomicInteger open = new AtomicInteger();
+    private volatile boolean closeAfterRequests;
+
+    RequestDispatcher(RouteTable routes, FrontendServices services, int maxBodyBytes) {
+        this.routes = routes;
+        this.services = services;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    int openRequests() {
+        return open.get();
+    }
+
+    void closeConnectionsAfterRequests() {
+        closeAfterRequests = true;
+    }
+
+    @Override
+    public void handle(ClassicHttpRequest request, ResponseTrigger trigger, HttpContext context)
+            throws HttpException, IOException {
+        ((HttpConnection) context.getAttribute(HttpFrontend.CONNECTION)).requestStarted();
+        open.incrementAndGet();
+        long startedAtMs = services.clock().nowMs();
+        String route = "none";
+        ApiResponse response = null;
+        try {
+            String target = request.getPath();
+            int question = target.indexOf('?');
+            String path = question < 0 ? target : target.substring(0, question);
+            String rawQuery = question < 0 ? "" : target.substring(question + 1);
+            Optional<RouteTable.Match> match = routes.find(request.getMethod(), path);
+            if (match.isPresent()) {
+                route = match.get().route().pattern();
+            }
+            response = answer(request, match, rawQuery, startedAtMs);
+            send(request, response, trigger);
+        } finally {
+            open.decrementAndGet();
+            if (response != null) {
+                response.afterwards().run();
+                services.metrics()
+                        .request(route, response.status(), services.clock().nowMs() - startedAtMs);
+            }
+        }
+    }
+
+    private ApiResponse answer(
+            ClassicHttpRequest request,
+            Optional<RouteTable.Match> match,
+            String rawQuery,
+            long startedAtMs) {
+        try {
+            checkHeaderSize(request);
+            if (match.isEmpty()) {
+                throw ApiRequest.notFound("There is no " + request.getMethod() + " on this path.");
+            }
+            ApiRequest apiRequest =
+                    new ApiRequest(
+                            request,
+                            match.get().parameters(),
+                            query(rawQuery),
+                            rawQuery,
+                            startedAtMs,
+                            bodyReader(request));
+            return match.get().route().handler().handle(apiRequest);
+        } catch (RefusedException e) {
+            Refusal refusal = e.refusal();
+            services.metrics()
+                    .refusal(refusal.code(), refusal.ran().name().toLowerCase(Locale.ROOT));
+            return ApiResponse.problem(refusal);
+        } catch (IOException | RuntimeException e) {
+            LOG.error(
+                    "SAP1205",
+                    e,
+                    "A request failed unexpectedly",
+                    "method",
+                    request.getMethod(),
+                    "route",
+                    match.map(found -> found.route().pattern()).orElse("none"));
+            return ApiResponse.problem(
+                    new Refusal(
+                            500,
+                            "internal_error",
+                            "The request failed unexpectedly.",
+                            "handle",
+                            "local",
+                            RanState.UNKNOWN,
+                            0));
+        }
+    }
+
+    private static Map<String, String> query(String rawQuery) {
+        Map<String, String> query = new HashMap<>();
+        if (!rawQuery.isEmpty()) {
+            WWWFormCodec.parse(rawQuery, StandardCharsets.UTF_8)
+                    .forEach(
+                            pair ->
+                                    query.put(
+                                            pair.getName(),
+                                            pair.getValue() == null ? "" : pair.getValue()));
+        }
+        return query;
+    }
+
+    private static void checkHeaderSize(ClassicHttpRequest request) throws RefusedException {
+        int size = request.getPath().length();
+        for (Header header : request.getHeaders()) {
+            size += header.getName().length() + 4;
+            size += header.getValue() == null ? 0 : header.getValue().length();
+        }
+        if (size > HttpSettings.MAX_HEADER_BYTES) {
+            throw tooLarge(
+                    "The header block may have " + HttpSettings.MAX_HEADER_BYTES + " bytes.");
+        }
+    }
+
+    private ApiRequest.BodyReader bodyReader(ClassicHttpRequest request) {
+        byte[][] kept = new byte[1][];
+        return () -> {
+            if (kept[0] == null) {
+                kept[0] = readBody(request.getEntity());
+            }
+            return kept[0];
+        };
+    }
+
+    private byte[] readBody(HttpEntity entity) throws IOException, RefusedException {
+        if (entity == null) {
+            return new byte[0];
+        }
+        if (entity.getContentLength() > maxBodyBytes) {
+            throw bodyTooLarge();
+        }
+        byte[] body = entity.getContent().readNBytes(maxBodyBytes + 1);
+        if (body.length > maxBodyBytes) {
+            throw bodyTooLarge();
+        }
+        return body;
+    }
+
+    private RefusedException bodyTooLarge() {
+        return tooLarge("The body may have " + maxBodyBytes + " bytes.");
+    }
+
+    private static RefusedException tooLarge(String detail) {
+        return new RefusedException(Refusal.notRun(413, "body_too_large", "parse", detail));
+    }
+
+    private void send(ClassicHttpRequest request, ApiResponse response, ResponseTrigger trigger)
+            throws HttpException, IOException {
+        ClassicHttpResponse message = new BasicClassicHttpResponse(response.status());
+        response.headers().forEach(message::setHeader);
+        boolean close = closeAfterRequests || !discardBody(request);
+        if (close) {
+            message.setHeader("Connection", "close");
+        }
+        if (response.writer() != null) {
+            message.setEntity(
+                    new EntityTemplate(
+                            -1,
+                            ContentType.parse(response.contentType()),
+                            null,
+                            response.writer()::writeTo));
+        } else if (response.body() != null) {
+            message.setEntity(
+                    new ByteArrayEntity(
+                            response.body(), ContentType.parse(response.contentType()), false));
+        }
+        trigger.submitResponse(message);
+    }
+
+    /** Reads what is left of the body; returns whether the connection can be used again. */
+    private static boolean discardBody(ClassicHttpRequest request) throws IOException {
+        HttpEntity entity = request.getEntity();
+        if (entity == null) {
+            return true;
+        }
+        InputStream content = entity.getContent();
+        byte[] buffer = new byte[8 * 1024];
+        int total = 0;
+        int count = content.read(buffer);
+        while (count >= 0 && total < MAX_DISCARDED_BYTES) {
+            total += count;
+            count = content.read(buffer);
+        }
+        if (count < 0) {
+            return true;
+        }
+        // Without an entity the server does not read the rest before it closes the connection.
+        request.setEntity(null);
+        return false;
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/StreamObserver.java
@@ -0,0 +1,46 @@
+package io.sapphirestack.runtime.http;
+
+import io.sapphirestack.core.record.ObjectivesSpec;
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.metrics.Metrics;
+
+/** Measures the tokens of one stream against the objectives of its service. Used by one thread. */
+final class StreamObserver {
+
+    private final Metrics metrics;
+    private final MillisClock clock;
+    private final String service;
+    private final ObjectivesSpec objectives;
+    private final long startedAtMs;
+    private final boolean fromStart;
+    private long lastTokensAtMs = -1;
+
+    StreamObserver(
+            Metrics metrics,
+            MillisClock clock,
+            String service,
+            ObjectivesSpec objectives,
+            long startedAtMs,
+            boolean fromStart) {
+        this.metrics = metrics;
+        this.clock = clock;
+        this.service = service;
+        this.objectives = objectives;
+        this.startedAtMs = startedAtMs;
+        this.fromStart = fromStart;
+    }
+
+    void tokens(int count) {
+        long nowMs = clock.nowMs();
+        if (lastTokensAtMs >= 0) {
+            long gapMs = nowMs - lastTokensAtMs;
+            metrics.tokens(service, count, gapMs);
+            metrics.objective(service, "betweenTokensMs", gapMs <= objectives.betweenTokensMs());
+        } else if (fromStart) {
+            long latencyMs = nowMs - startedAtMs;
+            metrics.firstToken(service, latencyMs);
+            metrics.objective(service, "firstTokenMs", latencyMs <= objectives.firstTokenMs());
+        }
+        lastTokensAtMs = nowMs;
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP interface towards callers, endpoints and operators. */
+package io.sapphirestack.runtime.http;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerEventLoop.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerEventLoop.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.transport;
 
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.concurrent.WorkerPool;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.Closeable;
 import java.io.IOException;
--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
@@ -0,0 +1,263 @@
+package io.sapphirestack.runtime.http;
+
+import static io.sapphirestack.runtime.http.HttpTestServer.ACME_KEY;
+import static io.sapphirestack.runtime.http.HttpTestServer.body;
+import static io.sapphirestack.runtime.http.HttpTestServer.json;
+import static io.sapphirestack.runtime.http.HttpTestServer.keyBody;
+import static io.sapphirestack.runtime.http.HttpTestServer.record;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sapphirestack.core.blackboard.FreshnessLease;
+import io.sapphirestack.core.blackboard.Readiness;
+import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.record.ConfigRecord;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against work that is admitted on an old configuration, with a wrong key or too large. */
+class AdmissionHttpTests {
+
+    private static final String COMPLETION = "{\"model\":\"m1\",\"prompt\":\"p\"}";
+    private static final String ORDERS = "/v1/services/ledger/orders";
+
+    private HttpTestServer server;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = new HttpTestServer();
+    }
+
+    @AfterEach
+    void close() {
+        server.close();
+    }
+
+    @Test
+    void staleInstanceRefusesNewWorkButContinuesGenerations() throws Exception {
+        server.generations.append("a");
+        server.generations.finish();
+        server.blackboard.freshness().publish(new FreshnessLease(0));
+
+        assertRefused(completion(), 503, "configuration_stale");
+        assertRefused(order(), 503, "configuration_stale");
+        assertRefused(
+                server.get("/v1/services/ledger/read/a", ACME_KEY), 503, "configuration_stale");
+        assertRefused(server.get("/ready", ""), 503, "configuration_stale");
+        assertThat(server.generations.accepted()).isEmpty();
+        assertThat(server.orders).isEmpty();
+        assertThat(server.reads).isEmpty();
+        assertThat(server.get("/v1/generations/" + FakeGenerations.ID + "/stream", ACME_KEY).body())
+                .contains("[DONE]");
+    }
+
+    @Test
+    void staleReadsAreServedOnlyWithinTheLimitOfTheService() throws Exception {
+        ConfigRecord service =
+                record(
+                        "service",
+                        "ledger",
+                        7,
+                        HttpTestServer.defaultRecords()
+                                .get(3)
+                                .body()
+                                .toString()
+                                .replace("}", ",\"staleReadLimitMs\":60000}"));
+        List<ConfigRecord> records = HttpTestServer.defaultRecords().subList(0, 3);
+        server.publish(
+                11, List.of(HttpTestServer.SELF), List.of(), HttpTestServer.plus(records, service));
+        server.blackboard
+                .freshness()
+                .publish(new FreshnessLease(System.nanoTime() / 1_000_000 - 1));
+        assertThat(server.get("/v1/services/ledger/read/a", ACME_KEY).statusCode()).isEqualTo(200);
+        assertRefused(order(), 503, "configuration_stale");
+        server.clockOffsetMs.set(60_000);
+        assertRefused(
+                server.get("/v1/services/ledger/read/a", ACME_KEY), 503, "configuration_stale");
+    }
+
+    @Test
+    void leavingInstanceStillAdmitsAndDrainingInstanceRefuses() throws Exception {
+        server.generations.finish();
+        server.blackboard.readiness().publish(Readiness.LEAVING);
+        assertThat(completion().statusCode()).isEqualTo(200);
+        assertRefused(server.get("/ready", ""), 503, "not_ready");
+        server.blackboard.readiness().publish(Readiness.DRAINING);
+        assertRefused(completion(), 503, "not_ready");
+        assertRefused(order(), 503, "not_ready");
+    }
+
+    @Test
+    void startingInstanceDoesNotCallAKeyWrong() throws Exception {
+        server.blackboard.readiness().publish(Readiness.STARTING);
+        assertRefused(completion(), 503, "not_ready");
+        assertThat(server.get("/health", "").statusCode()).isEqualTo(200);
+    }
+
+    @Test
+    void wrongAndMissingKeysAreUnauthorized() throws Exception {
+        assertRefused(
+                server.send(server.request("/v1/completions", "wrong").POST(body(COMPLETION))),
+                401,
+                "unauthorized");
+        assertRefused(
+                server.send(server.request("/v1/completions", "").POST(body(COMPLETION))),
+                401,
+                "unauthorized");
+        assertRefused(server.get("/admin/v1/records", ACME_KEY), 401, "unauthorized");
+    }
+
+    @Test
+    void changedKeyStopsWorkingWithTheNextView() throws Exception {
+        server.generations.finish();
+        assertThat(completion().statusCode()).isEqualTo(200);
+        List<ConfigRecord> changed =
+                List.of(record("account", "acme", 20, keyBody("keyHash", "new key")));
+        server.publish(20, List.of(HttpTestServer.SELF), List.of(), changed);
+        assertRefused(completion(), 401, "unauthorized");
+        assertThat(
+                        server.send(
+                                        server.request("/v1/completions", "new key")
+                                                .POST(body(COMPLETION)))
+                                .statusCode())
+                .isEqualTo(200);
+        server.publish(21, List.of(HttpTestServer.SELF), List.of(), List.of());
+        assertRefused(
+                server.send(server.request("/v1/completions", "new key").POST(body(COMPLETION))),
+                401,
+                "unauthorized");
+    }
+
+    @Test
+    void orderAndItsOutcomeAreMapped() throws Exception {
+        HttpResponse<String> answer = order();
+        assertThat(answer.statusCode()).isEqualTo(201);
+        assertThat(answer.body()).isEqualTo("content");
+        assertThat(answer.headers().firstValue("Sapphire-Run")).hasValue("yes");
+        assertThat(server.orders.get(0).key().key()).isEqualTo("k/1");
+
+        assertRefused(server.get(ORDERS + "/k%2F1", ACME_KEY), 404, "not_found");
+        server.outcome = new ControlResult.OrderReserved(HttpTestServer.PEER, "n", "h");
+        HttpResponse<String> reserved = server.get(ORDERS + "/k%2F1", ACME_KEY);
+        assertThat(reserved.statusCode()).isEqualTo(202);
+        assertThat(json(reserved).path("holder").asText()).isEqualTo("i2/4");
+        server.outcome = new ControlResult.OrderDone("h", 200, "t", new byte[] {1, 2});
+        HttpResponse<String> done = server.get(ORDERS + "/k%2F1", ACME_KEY);
+        assertThat(json(done).path("answer").binaryValue()).containsExactly(1, 2);
+    }
+
+    @Test
+    void orderNeedsAKeyAndAKnownService() throws Exception {
+        assertRefused(
+                server.send(server.request(ORDERS, ACME_KEY).POST(body("x"))), 400, "bad_request");
+        assertRefused(
+                server.send(
+                        server.request("/v1/services/none/orders", ACME_KEY)
+                                .header("Idempotency-Key", "k")
+                                .POST(body("x"))),
+                404,
+                "not_found");
+        assertRefused(
+                server.send(
+                        server.request(ORDERS, ACME_KEY)
+                                .header("Idempotency-Key", "k".repeat(257))
+                                .POST(body("x"))),
+                400,
+                "bad_request");
+        assertThat(server.orders).isEmpty();
+    }
+
+    @Test
+    void readPassesPathAndQueryUnchanged() throws Exception {
+        server.get("/v1/services/ledger/read/a%2Fb/c?x=1&y=%20", ACME_KEY);
+        assertThat(server.reads).containsExactly("a%2Fb/c?x=1&y=%20");
+    }
+
+    @Test
+    void largeBodiesAndHeadersAreRefused() throws Exception {
+        String large = "x".repeat(64 * 1024 + 1);
+        HttpResponse<String> known =
+                server.send(
+                        server.request(ORDERS, ACME_KEY)
+                                .header("Idempotency-Key", "k")
+                                .POST(body(large)));
+        assertRefused(known, 413, "body_too_large");
+        HttpResponse<String> chunked =
+                server.send(
+                        server.request(ORDERS, ACME_KEY)
+                                .header("Idempotency-Key", "k")
+                                .POST(
+                                        java.net.http.HttpRequest.BodyPublishers.ofInputStream(
+                                                () ->
+                                                        new java.io.ByteArrayInputStream(
+                                                                large.getBytes()))));
+        assertRefused(chunked, 413, "body_too_large");
+        assertThat(server.orders).isEmpty();
+        var headers = server.request("/health", "");
+        for (int i = 0; i < 20; i++) {
+            headers.header("x-" + i, "v".repeat(1_000));
+        }
+        assertRefused(server.send(headers), 413, "body_too_large");
+    }
+
+    @Test
+    void garbageGetsAnAnswerAndDoesNotStopTheServer() throws Exception {
+        String address = server.frontend.address();
+        int colon = address.lastIndexOf(':');
+        try (Socket socket =
+                new Socket(
+                        address.substring(0, colon),
+                        Integer.parseInt(address.substring(colon + 1)))) {
+            OutputStream out = socket.getOutputStream();
+            out.write("\u0001\u0002 nonsense\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            String answer =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(answer).startsWith("HTTP/1.1 400").contains("\"code\":\"bad_request\"");
+        }
+        assertThat(server.get("/health", "").statusCode()).isEqualTo(200);
+    }
+
+    @Test
+    void unexpectedFailureIsAnsweredAsUnknown() throws Exception {
+        server.readFailure = new IllegalArgumentException("test");
+        HttpResponse<String> response = server.get("/v1/services/ledger/read/a", ACME_KEY);
+        assertThat(response.statusCode()).isEqualTo(500);
+        assertThat(json(response).path("ran").asText()).isEqualTo("unknown");
+    }
+
+    @Test
+    void unknownPathIsNotFoundAndMetricsCountIt() throws Exception {
+        assertRefused(server.get("/v2/nothing", ""), 404, "not_found");
+        assertThat(server.get("/metrics", "").body())
+                .contains("sapphire_http_requests_total{route=\"none\",status=\"404\"} 1.0")
+                .contains("jvm_memory");
+    }
+
+    private HttpResponse<String> completion() throws Exception {
+        return server.send(server.request("/v1/completions", ACME_KEY).POST(body(COMPLETION)));
+    }
+
+    private HttpResponse<String> order() throws Exception {
+        return server.send(
+                server.request(ORDERS, ACME_KEY)
+                        .header("Idempotency-Key", "k/1")
+                        .POST(body("content")));
+    }
+
+    private static void assertRefused(HttpResponse<String> response, int status, String code)
+            throws Exception {
+        assertThat(response.statusCode()).isEqualTo(status);
+        assertThat(response.headers().firstValue("Content-Type"))
+                .hasValue("application/problem+json");
+        assertThat(json(response).path("code").asText()).isEqualTo(code);
+        assertThat(json(response).path("ran").asText()).isEqualTo("no");
+        if (status == 503) {
+            assertThat(response.headers().firstValue("Retry-After")).isPresent();
+        }
+    }
+}
