--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/FleetHandlers.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/FleetHandlers.java
@@ -10,6 +10,7 @@
 import io.sapphirestack.core.error.RefusedException;
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.id.InstanceId;
+import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.record.ConfigRecord;
 import io.sapphirestack.core.record.StopSpec;
 import io.sapphirestack.core.record.StopTarget;
@@ -50,7 +51,8 @@
 
     void addTo(RouteTable routes) {
         routes.add("GET", "/admin/v1/fleet", this::fleet)
-                .add("GET", "/admin/v1/revision", this::revision);
+                .add("GET", "/admin/v1/revision", this::revision)
+                .add("GET", "/admin/v1/burn", this::burn);
     }
 
     private ApiResponse revision(ApiRequest request) throws RefusedException, IOException {
@@ -93,6 +95,18 @@
         }
     }
 
+    private ApiResponse burn(ApiRequest request) throws RefusedException {
+        authenticator.operator(request);
+        Optional<InstanceRef> self = services.blackboard().self().read();
+        ObjectNode body =
+                ApiJson.MAPPER
+                        .createObjectNode()
+                        .put("instance", self.map(ref -> ref.id().value()).orElse(""))
+                        .put("sinceMs", services.burn().sinceMs());
+        body.set("counts", ApiJson.MAPPER.valueToTree(services.burn().snapshot()));
+        return ApiResponse.json(200, body);
+    }
+
     private ApiResponse fleet(ApiRequest request) throws RefusedException {
         authenticator.operator(request);
         FleetStatus fleet = control.fleet(FLEET_TIMEOUT_MS);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/FrontendServices.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/FrontendServices.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.http;
 
+import io.sapphirestack.core.objective.BurnRecorder;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.blackboard.Blackboard;
@@ -23,6 +24,7 @@
  * @param control control log
  * @param admission limit on requests by client account
  * @param metrics metrics of this instance
+ * @param burn events counted against service-level objectives
  * @param clock monotonic clock
  * @param bootstrapOperatorKeyHash hash of the key of the operator {@code bootstrap}, who may change
  *     records while there is no operator record
@@ -37,6 +39,7 @@
         ControlClient control,
         RequestAdmission admission,
         Metrics metrics,
+        BurnRecorder burn,
         MillisClock clock,
         String bootstrapOperatorKeyHash) {
 
@@ -51,6 +54,7 @@
         Objects.requireNonNull(control, "control");
         Objects.requireNonNull(admission, "admission");
         Objects.requireNonNull(metrics, "metrics");
+        Objects.requireNonNull(burn, "burn");
         Objects.requireNonNull(clock, "clock");
         Objects.requireNonNull(bootstrapOperatorKeyHash, "bootstrapOperatorKeyHash");
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/GenerationHandlers.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/GenerationHandlers.java
@@ -30,6 +30,7 @@
     private final AdmissionGate gate;
     private final Semaphore streams;
     private final Executor fetchExecutor;
+    private final ObjectiveEvents events;
 
     GenerationHandlers(
             FrontendServices services,
@@ -42,6 +43,7 @@
         this.gate = gate;
         this.streams = streams;
         this.fetchExecutor = fetchExecutor;
+        this.events = new ObjectiveEvents(services.burn());
     }
 
     void addTo(RouteTable routes) {
@@ -194,6 +196,7 @@
                         .orElse(ObjectivesSpec.DEFAULT);
         return new StreamObserver(
                 services.metrics(),
+                events,
                 services.clock(),
                 service,
                 objectives,
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
@@ -153,10 +153,15 @@
 
     /** Ends each connection after its current request; idle connections are closed at once. */
     public void drain() {
-        dispatcher.closeConnectionsAfterRequests();
+        dispatcher.closeConnectionsAfterRequests(true);
         connections.forEach(HttpConnection::closeIfIdle);
     }
 
+    /** Keeps connections open again after {@link #drain()}, when a planned stop was withdrawn. */
+    public void resume() {
+        dispatcher.closeConnectionsAfterRequests(false);
+    }
+
     private void accept() {
         while (!closed) {
             try {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
@@ -50,8 +50,8 @@
         return open.get();
     }
 
-    void closeConnectionsAfterRequests() {
-        closeAfterRequests = true;
+    void closeConnectionsAfterRequests(boolean close) {
+        closeAfterRequests = close;
     }
 
     @Override
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/ServiceHandlers.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/ServiceHandlers.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.error.RanState;
 import io.sapphirestack.core.error.RefusedException;
 import io.sapphirestack.core.id.OrderKey;
 import io.sapphirestack.core.record.RecordKey;
@@ -22,6 +23,7 @@
     private final AdmissionGate gate;
     private final Semaphore reads;
     private final Semaphore orders;
+    private final ObjectiveEvents events;
 
     ServiceHandlers(
             FrontendServices services,
@@ -33,6 +35,7 @@
         this.gate = gate;
         this.reads = new Semaphore(settings.maxReads());
         this.orders = new Semaphore(settings.maxOrders());
+        this.events = new ObjectiveEvents(services.burn());
     }
 
     void addTo(RouteTable routes) {
@@ -64,9 +67,15 @@
             ApiResponse response =
                     ApiResponse.bytes(answer.status(), answer.contentType(), answer.body())
                             .header("Sapphire-Run", "yes");
+            events.orderAnswered(orderKey.service());
             return answer.endpoint().isEmpty()
                     ? response.header("Sapphire-Stored", "true")
                     : response;
+        } catch (RefusedException e) {
+            if (e.refusal().ran() != RanState.NO) {
+                events.orderUnknown(orderKey.service());
+            }
+            throw e;
         } finally {
             orders.release();
         }
@@ -122,7 +131,6 @@
                 request.receivedAtMs() + request.deadlineMs().orElse(spec.readTimeoutMs());
         String service = request.path("service");
         AdmissionGate.acquire(reads, "reads");
-        boolean answered = false;
         try {
             ServiceAnswer answer =
                     services.reads()
@@ -131,16 +139,14 @@
                                     service,
                                     request.path("path") + query,
                                     deadlineMs);
-            answered = true;
+            long latencyMs = services.clock().nowMs() - request.receivedAtMs();
+            events.readAnswered(service, latencyMs, spec.objectives().readLatencyMs());
             return ApiResponse.bytes(answer.status(), answer.contentType(), answer.body());
+        } catch (RefusedException e) {
+            events.readFailed(service);
+            throw e;
         } finally {
             reads.release();
-            long latencyMs = services.clock().nowMs() - request.receivedAtMs();
-            services.metrics()
-                    .objective(
-                            service,
-                            "readLatencyMs",
-                            answered && latencyMs <= spec.objectives().readLatencyMs());
         }
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/StreamObserver.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/StreamObserver.java
@@ -8,6 +8,7 @@
 final class StreamObserver {
 
     private final Metrics metrics;
+    private final ObjectiveEvents events;
     private final MillisClock clock;
     private final String service;
     private final ObjectivesSpec objectives;
@@ -17,12 +18,14 @@
 
     StreamObserver(
             Metrics metrics,
+            ObjectiveEvents events,
             MillisClock clock,
             String service,
             ObjectivesSpec objectives,
             long startedAtMs,
             boolean fromStart) {
         this.metrics = metrics;
+        this.events = events;
         this.clock = clock;
         this.service = service;
         this.objectives = objectives;
@@ -35,11 +38,11 @@
         if (lastTokensAtMs >= 0) {
             long gapMs = nowMs - lastTokensAtMs;
             metrics.tokens(service, count, gapMs);
-            metrics.objective(service, "betweenTokensMs", gapMs <= objectives.betweenTokensMs());
+            events.betweenTokens(service, gapMs, objectives.betweenTokensMs());
         } else if (fromStart) {
             long latencyMs = nowMs - startedAtMs;
             metrics.firstToken(service, latencyMs);
-            metrics.objective(service, "firstTokenMs", latencyMs <= objectives.firstTokenMs());
+            events.firstToken(service, latencyMs, objectives.firstTokenMs());
         }
         lastTokensAtMs = nowMs;
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/EventLog.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/EventLog.java
@@ -28,6 +28,19 @@
         return new EventLog(Logger.getLogger(source));
     }
 
+    /**
+     * Writes an event that is only of interest when looking for a cause.
+     *
+     * @param id identifier from the catalogue
+     * @param message fixed sentence
+     * @param fields names and values in turn
+     */
+    public void debug(String id, String message, Object... fields) {
+        if (logger.isDebugEnabled()) {
+            logger.debug(format(id, message, fields));
+        }
+    }
+
     /**
      * Writes an event of normal operation.
      *
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/Metrics.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/Metrics.java
@@ -35,13 +35,6 @@
             counter("sapphire_refusals", "Refused requests by code.", "code", "ran");
     private final Counter tokens =
             counter("sapphire_delivered_tokens", "Tokens written to callers.");
-    private final Counter objectiveEvents =
-            counter(
-                    "sapphire_objective_events",
-                    "Events counted against a service-level objective.",
-                    "service",
-                    "objective",
-                    "good");
     private final Counter attempts =
             counter("sapphire_attempts", "Attempts started on engines.", "reason");
     private final Counter reattachments =
@@ -118,17 +111,6 @@
         refusals.labelValues(code, ran).inc();
     }
 
-    /**
-     * Counts an event against an objective.
-     *
-     * @param service name of the service
-     * @param objective field of the objective, such as {@code readLatencyMs}
-     * @param good whether the objective was met
-     */
-    public void objective(String service, String objective, boolean good) {
-        objectiveEvents.labelValues(service, objective, Boolean.toString(good)).inc();
-    }
-
     /**
      * Records the time to the first token of a generation.
      *
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
@@ -172,6 +172,17 @@
         assertThat(server.orders).isEmpty();
     }
 
+    @Test
+    void eventsAreCountedAgainstTheObjectivesOfTheService() throws Exception {
+        server.get("/v1/services/ledger/read/a", ACME_KEY);
+        order();
+        HttpResponse<String> burn = server.get("/admin/v1/burn", HttpTestServer.READER_KEY);
+        assertThat(json(burn).path("instance").asText()).isEqualTo("i1");
+        assertThat(json(burn).at("/counts/0/objective").asText()).isEqualTo("READ_LATENCY");
+        assertThat(json(burn).at("/counts/1/objective").asText()).isEqualTo("ORDER_OUTCOME");
+        assertThat(json(burn).at("/counts/1/windows/ONE_HOUR/good").asInt()).isEqualTo(1);
+    }
+
     @Test
     void readPassesPathAndQueryUnchanged() throws Exception {
         server.get("/v1/services/ledger/read/a%2Fb/c?x=1&y=%20", ACME_KEY);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/HttpTestServer.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/HttpTestServer.java
@@ -12,6 +12,7 @@
 import io.sapphirestack.core.control.MembershipEvent;
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.objective.BurnRecorder;
 import io.sapphirestack.core.record.ConfigRecord;
 import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.core.record.RecordSpecResolver;
@@ -111,6 +112,7 @@
                                 new FakeControl(),
                                 (account, spec) -> {},
                                 new Metrics(),
+                                new BurnRecorder(MillisClock.wall()),
                                 () -> monotonic.nowMs() + clockOffsetMs.get(),
                                 KeyHash.create(BOOTSTRAP_KEY, new byte[] {1})));
         frontend.start();
