--- /dev/null
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/FakeEndpoints.java
@@ -0,0 +1,141 @@
+package io.sapphirestack.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An engine and a plain service in one HTTP server. The engine waits for the test's permission. */
+final class FakeEndpoints implements AutoCloseable {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long KEEP_ALIVE_MS = 100;
+
+    private final HttpServer server;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final AtomicInteger orderRuns = new AtomicInteger();
+    private final AtomicInteger attempts = new AtomicInteger();
+    private int allowedTokens;
+    private int maxTokens;
+    private boolean closed;
+
+    FakeEndpoints() throws IOException {
+        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        server.setExecutor(threads);
+        server.createContext("/v1/streams", this::stream);
+        server.createContext("/health", exchange -> answer(exchange, 200, "ok"));
+        server.createContext("/read", exchange -> answer(exchange, 200, "read"));
+        server.createContext("/orders", this::order);
+        server.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    int orderRuns() {
+        return orderRuns.get();
+    }
+
+    int attempts() {
+        return attempts.get();
+    }
+
+    /** Lets the engine produce tokens up to this offset. */
+    synchronized void allow(int tokens) {
+        allowedTokens = tokens;
+        notifyAll();
+    }
+
+    static String token(long offset) {
+        return "t" + offset + " ";
+    }
+
+    private void order(HttpExchange exchange) throws IOException {
+        exchange.getRequestBody().readAllBytes();
+        answer(exchange, 200, "run " + orderRuns.incrementAndGet());
+    }
+
+    private void stream(HttpExchange exchange) throws IOException {
+        int from = 0;
+        if (exchange.getRequestMethod().equals("POST")) {
+            JsonNode body = JSON.readTree(exchange.getRequestBody());
+            from = body.path("prefix").size();
+            attempts.incrementAndGet();
+            synchronized (this) {
+                maxTokens = body.path("maxTokens").asInt();
+            }
+        } else if (exchange.getRequestMethod().equals("GET")) {
+            from = Integer.parseInt(exchange.getRequestURI().getQuery().replace("from=", ""));
+        } else {
+            answer(exchange, 204, "");
+            return;
+        }
+        exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+        exchange.sendResponseHeaders(200, 0);
+        try (OutputStream out = exchange.getResponseBody()) {
+            writeTokens(out, from);
+        }
+    }
+
+    private void writeTokens(OutputStream out, int from) throws IOException {
+        int next = from;
+        while (next < maxTokens()) {
+            if (awaitToken(next)) {
+                write(out, "id: " + next + "\ndata: {\"token\":\"" + token(next) + "\"}\n\n");
+                next++;
+            } else {
+                write(out, ": keep-alive\n\n");
+            }
+        }
+        write(out, "event: end\ndata: {\"finishReason\":\"length\",\"prefilledTokens\":1,");
+        write(out, "\"cachedTokens\":0}\n\n");
+    }
+
+    private synchronized int maxTokens() throws IOException {
+        if (closed) {
+            throw new IOException("closed");
+        }
+        return maxTokens;
+    }
+
+    private synchronized boolean awaitToken(int offset) {
+        if (offset >= allowedTokens) {
+            try {
+                wait(KEEP_ALIVE_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        return offset < allowedTokens;
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    private static void answer(HttpExchange exchange, int status, String text) throws IOException {
+        byte[] body = text.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            closed = true;
+            notifyAll();
+        }
+        server.stop(0);
+        threads.shutdownNow();
+    }
+}
