Let three instances form a cluster and stream a generation end to end

Cause of the endless run before: EndpointConnection sent requests with a body but without Content-Length, which HttpCore refuses, so no attempt could start. Change: EndpointConnection sets the content headers of the entity; the wiring follows the new constructors of routing and dissemination; all tests of these parts have a time limit.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -1,7 +1,6 @@
 package io.sapphirestack.daemon;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.sapphirestack.core.blackboard.BlackboardPart;
 import io.sapphirestack.core.control.InstanceInfo;
 import io.sapphirestack.core.control.InstanceStatus;
 import io.sapphirestack.core.generation.GenerationAdmission;
@@ -9,7 +8,6 @@
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.limit.AccountLimiter;
-import io.sapphirestack.core.limit.UsageTable;
 import io.sapphirestack.core.objective.BurnRecorder;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.replication.LogStoreException;
@@ -18,6 +16,7 @@
 import io.sapphirestack.core.routing.DispatchGuard;
 import io.sapphirestack.core.routing.ExpectedCostRoutingStrategy;
 import io.sapphirestack.core.routing.InFlightTracker;
+import io.sapphirestack.core.routing.LoadEstimator;
 import io.sapphirestack.core.routing.PrefixIndex;
 import io.sapphirestack.core.routing.RoutingParameters;
 import io.sapphirestack.core.routing.RoutingStrategy;
@@ -32,7 +31,9 @@
 import io.sapphirestack.runtime.endpoint.HttpEngineOrderClient;
 import io.sapphirestack.runtime.endpoint.LeaderLease;
 import io.sapphirestack.runtime.endpoint.ModelController;
+import io.sapphirestack.runtime.endpoint.SpreadParts;
 import io.sapphirestack.runtime.endpoint.SpreadService;
+import io.sapphirestack.runtime.endpoint.SpreadSources;
 import io.sapphirestack.runtime.error.ServiceException;
 import io.sapphirestack.runtime.generation.DefaultGenerationService;
 import io.sapphirestack.runtime.generation.GenerationContext;
@@ -74,7 +75,7 @@
     private final PeerListener listener;
     private final MillisClock clock = MillisClock.monotonic();
     private final Blackboard blackboard = Blackboard.create();
-    private final BlackboardPart<UsageTable> usage = new BlackboardPart<>(UsageTable.EMPTY);
+    private final SpreadParts spreadParts = SpreadParts.create();
     private final RecordSpecResolver specs = new RecordSpecResolver();
     private final RecordCatalog catalog;
     private final Metrics metrics = new Metrics();
@@ -136,7 +137,7 @@
                         catalog::service,
                         inFlight,
                         clock);
-        this.limiter = new AccountLimiter(usage::read, this::liveInstances, clock);
+        this.limiter = new AccountLimiter(spreadParts.usage()::read, this::liveInstances, clock);
         this.spread = spread();
         this.generations = generations();
         this.models = voter.map(this::models);
@@ -184,9 +185,9 @@
         return new ExpectedCostRoutingStrategy(
                 blackboard.endpoints()::read,
                 prefixes,
-                inFlight,
+                new LoadEstimator(
+                        inFlight, spreadParts.inFlight()::read, this::liveInstances, clock),
                 stopping,
-                this::liveInstances,
                 settings.instance().availabilityZone(),
                 RoutingParameters.DEFAULT,
                 bound -> ThreadLocalRandom.current().nextInt(bound),
@@ -194,16 +195,16 @@
     }
 
     private SpreadService spread() {
-        AccountUrgency urgency = new AccountUrgency(limiter, usage::read, catalog);
+        AccountUrgency urgency = new AccountUrgency(limiter, spreadParts.usage()::read, catalog);
         SpreadService service =
                 new SpreadService(
                         transport,
                         blackboard.control(),
                         blackboard.self(),
                         registry,
-                        usage,
-                        urgency::localUsage,
-                        urgency::isUrgent,
+                        spreadParts,
+                        new SpreadSources(
+                                urgency::localUsage, urgency::isUrgent, inFlight::snapshot),
                         SPREAD_FAN_OUT,
                         clock);
         service.register(listener.handlers());
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/ClusterTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/ClusterTests.java
@@ -18,11 +18,13 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
  * Guards the wiring of whole instances: what each part does alone must hold when they run together.
  */
+@Timeout(180)
 class ClusterTests {
 
     private static final ObjectMapper JSON = new ObjectMapper();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
@@ -79,6 +80,10 @@
      */
     public ClassicHttpResponse exchange(ClassicHttpRequest request) throws EndpointException {
         request.setHeader("Host", address);
+        HttpEntity entity = request.getEntity();
+        if (entity != null) {
+            setContentHeaders(request, entity);
+        }
         try {
             return executor.execute(request, connection, HttpCoreContext.create());
         } catch (SocketTimeoutException e) {
@@ -88,6 +93,18 @@
         }
     }
 
+    // The executor writes the headers as they are and refuses a body without a length.
+    private static void setContentHeaders(ClassicHttpRequest request, HttpEntity entity) {
+        if (entity.getContentLength() >= 0) {
+            request.setHeader("Content-Length", entity.getContentLength());
+        } else {
+            request.setHeader("Transfer-Encoding", "chunked");
+        }
+        if (entity.getContentType() != null) {
+            request.setHeader("Content-Type", entity.getContentType());
+        }
+    }
+
     /** Returns the address of the endpoint. */
     public String address() {
         return address;
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
@@ -19,8 +19,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Guards against work that is admitted on an old configuration, with a wrong key or too large. */
+@Timeout(180)
 class AdmissionHttpTests {
 
     private static final String COMPLETION = "{\"model\":\"m1\",\"prompt\":\"p\"}";
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/GenerationHttpTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/GenerationHttpTests.java
@@ -17,8 +17,10 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Guards against streams with missing, repeated or foreign tokens. */
+@Timeout(180)
 class GenerationHttpTests {
 
     private static final String STREAM = "{\"model\":\"m1\",\"prompt\":\"p\",\"stream\":true}";
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/OperatorHttpTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/OperatorHttpTests.java
@@ -28,8 +28,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Guards against changes that are lost, applied blindly, or reported in force too early. */
+@Timeout(180)
 class OperatorHttpTests {
 
     private static final String PATH = "/admin/v1/records/model/m1";
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/transport/TcpPeerTransportTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/transport/TcpPeerTransportTests.java
@@ -19,8 +19,10 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Guards against replies that reach the wrong caller and calls that never end. */
+@Timeout(180)
 class TcpPeerTransportTests {
 
     private static final String KEY = "cluster key of the test";
