--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/OrderFixtures.java
@@ -0,0 +1,42 @@
+package io.sapphirestack.runtime.order;
+
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.membership.EndpointLoad;
+import io.sapphirestack.core.record.ObjectivesSpec;
+import io.sapphirestack.core.record.ResumeSpec;
+import io.sapphirestack.core.record.ServiceSpec;
+import io.sapphirestack.core.record.ServiceType;
+import io.sapphirestack.core.routing.EndpointState;
+import io.sapphirestack.core.routing.RoutingStrategy;
+import java.util.List;
+import java.util.Set;
+
+/** Records and endpoints for tests of orders and reads. */
+final class OrderFixtures {
+
+    static final String SERVICE = "ledger";
+    static final ServiceSpec SPEC =
+            new ServiceSpec(
+                    ServiceType.PLAIN,
+                    "",
+                    true,
+                    false,
+                    0,
+                    1_000,
+                    5_000,
+                    ResumeSpec.DEFAULT,
+                    ObjectivesSpec.DEFAULT);
+
+    private OrderFixtures() {}
+
+    static EndpointState endpoint(String id, String address) {
+        return new EndpointState(
+                EndpointId.of(id), SERVICE, address, "az1", 1, Set.of(), EndpointLoad.NONE, 0);
+    }
+
+    /** Chooses the first endpoint that is not excluded. */
+    static RoutingStrategy firstOf(List<EndpointState> endpoints) {
+        return request ->
+                endpoints.stream().filter(e -> !request.excluded().contains(e.id())).findFirst();
+    }
+}
