Wire orders and reads into the daemon

Cause: plain services were refused. Change: PlainServices composes the order and read services with executors of their own that reject beyond the limit of the settings.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -96,6 +96,7 @@
     private final SpreadService spread;
     private final DefaultGenerationService generations;
     private final Optional<ModelController> models;
+    private final PlainServices plainServices;
     private final HttpFrontend frontend;
     private final ControlWatcher watcher;
     private final InstanceLifecycle lifecycle;
@@ -141,6 +142,16 @@
         this.spread = spread();
         this.generations = generations();
         this.models = voter.map(this::models);
+        this.plainServices =
+                new PlainServices(
+                        settings.limits(),
+                        blackboard,
+                        control,
+                        catalog,
+                        routing,
+                        guard,
+                        scheduler,
+                        clock);
         this.frontend = frontend();
         this.watcher = watcher();
         this.lifecycle =
@@ -271,7 +282,6 @@
 
     private HttpFrontend frontend() throws ServiceException {
         DaemonSettings.Limits limits = settings.limits();
-        UnavailableOrders orders = new UnavailableOrders();
         return new HttpFrontend(
                 new HttpSettings(
                         settings.httpListen(),
@@ -284,8 +294,8 @@
                         blackboard,
                         specs,
                         generations,
-                        orders,
-                        orders,
+                        plainServices.orders(),
+                        plainServices.reads(),
                         registry,
                         control,
                         limiter::admitRequest,
@@ -394,5 +404,6 @@
         scheduler.shutdownNow();
         attemptThreads.shutdownNow();
         orderClientThreads.shutdownNow();
+        plainServices.close();
     }
 }
--- /dev/null
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/PlainServices.java
@@ -0,0 +1,100 @@
+package io.sapphirestack.daemon;
+
+import io.sapphirestack.core.limit.RetryBudget;
+import io.sapphirestack.core.routing.DispatchGuard;
+import io.sapphirestack.core.routing.RoutingStrategy;
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.blackboard.Blackboard;
+import io.sapphirestack.runtime.concurrent.WorkerPool;
+import io.sapphirestack.runtime.control.ControlClient;
+import io.sapphirestack.runtime.order.DefaultOrderService;
+import io.sapphirestack.runtime.order.DefaultReadService;
+import io.sapphirestack.runtime.order.HttpPlainConnector;
+import io.sapphirestack.runtime.order.OrderRuntime;
+import io.sapphirestack.runtime.order.OrderService;
+import io.sapphirestack.runtime.order.ReadRetryBudget;
+import io.sapphirestack.runtime.order.ReadService;
+import io.sapphirestack.runtime.order.WaitStrategy;
+import java.io.Closeable;
+import java.util.UUID;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/** Orders and reads at plain services, each with threads of their own. */
+final class PlainServices implements Closeable {
+
+    private final ThreadPoolExecutor orderThreads;
+    private final ThreadPoolExecutor readThreads;
+    private final OrderService orders;
+    private final ReadService reads;
+
+    PlainServices(
+            DaemonSettings.Limits limits,
+            Blackboard blackboard,
+            ControlClient control,
+            RecordCatalog catalog,
+            RoutingStrategy routing,
+            DispatchGuard guard,
+            ScheduledExecutorService scheduler,
+            MillisClock clock) {
+        this.orderThreads = WorkerPool.createRejecting("order", limits.orders());
+        this.readThreads = WorkerPool.createRejecting("read", limits.reads());
+        HttpPlainConnector connector = new HttpPlainConnector();
+        WaitStrategy waits = WaitStrategy.blocking(clock);
+        this.orders =
+                new DefaultOrderService(
+                        blackboard,
+                        control,
+                        catalog::service,
+                        routing,
+                        guard,
+                        connector,
+                        new OrderRuntime(
+                                orderThreads,
+                                (task, delayMs) ->
+                                        scheduler.schedule(task, delayMs, TimeUnit.MILLISECONDS),
+                                waits,
+                                clock,
+                                () -> UUID.randomUUID().toString()));
+        this.reads =
+                new DefaultReadService(
+                        catalog::service,
+                        routing,
+                        guard,
+                        connector,
+                        retryBudget(),
+                        readThreads,
+                        waits,
+                        clock);
+    }
+
+    private static ReadRetryBudget retryBudget() {
+        RetryBudget budget = new RetryBudget();
+        return new ReadRetryBudget() {
+            @Override
+            public boolean tryRetry(String service) {
+                return budget.tryRetry(service);
+            }
+
+            @Override
+            public void recordRequest(String service) {
+                budget.recordRequest(service);
+            }
+        };
+    }
+
+    OrderService orders() {
+        return orders;
+    }
+
+    ReadService reads() {
+        return reads;
+    }
+
+    @Override
+    public void close() {
+        orderThreads.shutdownNow();
+        readThreads.shutdownNow();
+    }
+}
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/WorkerPool.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/WorkerPool.java
@@ -1,6 +1,8 @@
 package io.sapphirestack.runtime.concurrent;
 
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedTransferQueue;
+import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -16,26 +18,14 @@
     private WorkerPool() {}
 
     /**
-     * Creates an executor of daemon threads.
+     * Creates an executor of daemon threads whose further tasks wait.
      *
      * @param name prefix of the thread names
-     * @param maxThreads most threads at a time; further tasks wait
+     * @param maxThreads most threads at a time
      * @return an executor whose idle threads end after 10 s
      */
     public static ThreadPoolExecutor create(String name, int maxThreads) {
-        AtomicLong number = new AtomicLong();
-        ThreadPoolExecutor pool =
-                new ThreadPoolExecutor(
-                        0,
-                        maxThreads,
-                        KEEP_ALIVE_S,
-                        TimeUnit.SECONDS,
-                        new HandOverQueue(),
-                        task -> {
-                            Thread thread = new Thread(task, name + "-" + number.incrementAndGet());
-                            thread.setDaemon(true);
-                            return thread;
-                        });
+        ThreadPoolExecutor pool = pool(name, maxThreads, new HandOverQueue());
         pool.setRejectedExecutionHandler(
                 (task, executor) -> {
                     if (!executor.isShutdown()) {
@@ -45,6 +35,33 @@
         return pool;
     }
 
+    /**
+     * Creates an executor of daemon threads that rejects further tasks.
+     *
+     * @param name prefix of the thread names
+     * @param maxThreads most threads at a time
+     * @return an executor whose idle threads end after 10 s
+     */
+    public static ThreadPoolExecutor createRejecting(String name, int maxThreads) {
+        return pool(name, maxThreads, new SynchronousQueue<>());
+    }
+
+    private static ThreadPoolExecutor pool(
+            String name, int maxThreads, BlockingQueue<Runnable> queue) {
+        AtomicLong number = new AtomicLong();
+        return new ThreadPoolExecutor(
+                0,
+                maxThreads,
+                KEEP_ALIVE_S,
+                TimeUnit.SECONDS,
+                queue,
+                task -> {
+                    Thread thread = new Thread(task, name + "-" + number.incrementAndGet());
+                    thread.setDaemon(true);
+                    return thread;
+                });
+    }
+
     /** Accepts an offered task only if a thread waits for it. */
     private static final class HandOverQueue extends LinkedTransferQueue<Runnable> {
 
