Check that the tests notice broken decisions, and start the first lease earlier

Cause: tests that pass prove little until broken decisions make them fail. The first lease of a leader started when the last vote arrived, but a voter may have voted for a later candidate since it sent its vote. Change: the first lease starts when the votes were asked for. Unit tests for decisions that random runs did not notice. The service test waits for the lease instead of expecting it with the first result, because the result is sent first (seen once as NoSuchElementException).

--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
@@ -31,11 +31,17 @@
     private PeerProgress transferTarget;
     private long transferDeadlineMs;
 
-    LeaderState(NodeState state, List<ReadResult> readResults) {
+    /**
+     * Starts a term.
+     *
+     * @param electionStartMs when the votes were asked for. The first lease starts then, because a
+     *     voter may have voted for a later candidate since it gave its vote.
+     */
+    LeaderState(NodeState state, List<ReadResult> readResults, long electionStartMs) {
         this.state = state;
         this.readResults = readResults;
         this.electedAtMs = state.clock.nowMs();
-        this.confirmedSentMs = electedAtMs;
+        this.confirmedSentMs = electionStartMs;
         this.firstIndex = state.log.lastIndex() + 1;
         trackVoters();
         state.appendLocal(new byte[0], Optional.empty());
@@ -43,7 +49,6 @@
     }
 
     LeaderTerm term() {
-        // Before the first confirmed round the election itself is the confirmation.
         return new LeaderTerm(
                 state.term(), electedAtMs, confirmedSentMs + state.settings.leaseMs());
     }
@@ -63,7 +68,8 @@
 
     /** Returns whether a majority answered recently. */
     boolean hasQuorum() {
-        return state.clock.nowMs() - confirmedSentMs <= state.settings.electionMaxMs();
+        long lastMs = Math.max(electedAtMs, confirmedSentMs);
+        return state.clock.nowMs() - lastMs <= state.settings.electionMaxMs();
     }
 
     boolean isActive(PeerProgress peer) {
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
@@ -43,6 +43,7 @@
     private String leaderAddress = "";
     private long lastLeaderContactMs;
     private long electionDeadlineMs;
+    private long electionStartMs;
     private long appliedIndex;
     private Optional<StoredSnapshot> restore;
 
@@ -335,6 +336,7 @@
     private void startElection(boolean preVote, boolean transfer) {
         votes.clear();
         votes.add(state.voterId);
+        electionStartMs = state.clock.nowMs();
         resetElectionTimer();
         if (preVote) {
             role = ReplicationRole.PRE_CANDIDATE;
@@ -366,7 +368,7 @@
             startElection(false, false);
         } else {
             role = ReplicationRole.LEADER;
-            leader = new LeaderState(state, readResults);
+            leader = new LeaderState(state, readResults, electionStartMs);
         }
     }
 
--- a/sapphire-core/src/test/java/io/sapphirestack/core/replication/ReplicationNodeTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/replication/ReplicationNodeTests.java
@@ -146,6 +146,130 @@
         assertThat(node.leadership()).isEmpty();
     }
 
+    @Test
+    void entryOfAnOlderTermIsCommittedOnlyWithOneOfTheOwnTerm() {
+        ReplicationNode node = leader(2);
+
+        node.receive(from("B", "b:1", "A", new AppendReply(node.term(), true, 2, 1)));
+        assertThat(node.commitIndex()).isZero();
+
+        node.receive(from("B", "b:1", "A", new AppendReply(node.term(), true, 3, 1)));
+        assertThat(node.commitIndex()).isEqualTo(3);
+    }
+
+    @Test
+    void ownEntryCountsOnlyAfterItIsDurable() {
+        ReplicationNode node = leader(1);
+        node.receive(from("B", "b:1", "A", new AppendReply(node.term(), true, 2, 1)));
+        assertThat(node.commitIndex()).isEqualTo(2);
+
+        long index = node.propose(new byte[] {1}).orElseThrow();
+        PersistBatch batch = node.takeBatch().orElseThrow();
+        node.receive(from("B", "b:1", "A", new AppendReply(node.term(), true, index, 1)));
+        assertThat(node.commitIndex()).isEqualTo(2);
+
+        node.persisted(batch.number());
+        assertThat(node.commitIndex()).isEqualTo(index);
+    }
+
+    @Test
+    void delayedSnapshotKeepsAcknowledgedEntriesAfterIt() {
+        ReplicationNode node = node(stored("B", "K", 1, 5));
+        SnapshotMeta meta = new SnapshotMeta(3, 1, 0, new ClusterMembership(VOTERS));
+
+        node.receive(
+                from(
+                        "A",
+                        "a:1",
+                        "B",
+                        new ReplicationMessage.SnapshotChunk(1, meta, 0, 1, new byte[1])));
+
+        assertThat(node.lastIndex()).isEqualTo(5);
+        assertThat(node.takeBatch()).isEmpty();
+        assertThat(node.commitIndex()).isEqualTo(3);
+    }
+
+    @Test
+    void firstLeaseStartsWhenTheVotesWereAskedFor() {
+        ReplicationNode node = node(stored("A", "K", 1, 1));
+        nowMs.addAndGet(700);
+        node.tick();
+        node.receive(from("B", "b:1", "A", new VoteReply(true, 2, true)));
+        node.persisted(node.takeBatch().orElseThrow().number());
+        long startMs = nowMs.get();
+        nowMs.addAndGet(200);
+        node.receive(from("B", "b:1", "A", new VoteReply(false, 2, true)));
+
+        LeaderTerm term = node.leadership().orElseThrow();
+        assertThat(term.electedAtMs()).isEqualTo(startMs + 200);
+        assertThat(term.leaseUntilMs()).isEqualTo(startMs + 1_000);
+    }
+
+    /** Exchanging both in one change would allow two majorities without a common voter. */
+    @Test
+    void lostIdentityIsRemovedByItsOwnChangeBeforeTheNewOneIsAdded() {
+        ReplicationNode node = leader(1);
+        node.receive(from("B", "b:1", "A", new AppendReply(node.term(), true, 2, 1)));
+
+        letLearnerCatchUp(node, 12);
+        assertThat(node.membership().voters().keySet()).containsExactlyInAnyOrder("A", "B");
+        assertThat(node.isMembershipCommitted()).isFalse();
+
+        letLearnerCatchUp(node, 12);
+        assertThat(node.membership().voters().keySet()).containsExactlyInAnyOrder("A", "B");
+
+        node.receive(from("B", "b:1", "A", new AppendReply(node.term(), true, 3, 1)));
+        letLearnerCatchUp(node, 1);
+        assertThat(node.membership().voters())
+                .isEqualTo(Map.of("A", "a:1", "B", "b:1", "C2", "c:1"));
+    }
+
+    @Test
+    void activeVoterIsNotReplacedByALearnerWithItsAddress() {
+        ReplicationNode node = leader(1);
+        node.receive(from("B", "b:1", "A", new AppendReply(node.term(), true, 2, 1)));
+
+        for (int i = 0; i < 12; i++) {
+            node.receive(from("C", "c:1", "A", new AppendReply(node.term(), true, 2, 1)));
+            letLearnerCatchUp(node, 1);
+        }
+
+        assertThat(node.membership().voters()).isEqualTo(VOTERS);
+    }
+
+    /** Voter B and learner C2 answer while 100 ms pass each time. */
+    private void letLearnerCatchUp(ReplicationNode node, int times) {
+        for (int i = 0; i < times; i++) {
+            nowMs.addAndGet(100);
+            node.receive(
+                    new VoterMessage(
+                            "K", "C2", "c:1", "", "a:1", new ReplicationMessage.LearnerRequest()));
+            long last = Math.max(2, node.lastIndex());
+            long round = lastRound(node);
+            node.receive(from("B", "b:1", "A", new AppendReply(node.term(), true, 2, round)));
+            node.receive(from("C2", "c:1", "A", new AppendReply(node.term(), true, last, round)));
+            node.tick();
+            node.takeBatch().ifPresent(batch -> node.persisted(batch.number()));
+        }
+    }
+
+    private static long lastRound(ReplicationNode node) {
+        return node.drainMessages().stream()
+                .map(VoterMessage::message)
+                .filter(AppendRequest.class::isInstance)
+                .mapToLong(message -> ((AppendRequest) message).round())
+                .max()
+                .orElse(1);
+    }
+
+    private ReplicationNode leader(int lastIndex) {
+        ReplicationNode node = node(stored("A", "K", 1, lastIndex));
+        nowMs.addAndGet(700);
+        elect(node);
+        node.persisted(node.takeBatch().orElseThrow().number());
+        return node;
+    }
+
     private void elect(ReplicationNode node) {
         node.tick();
         long next = node.term() + 1;
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
@@ -239,15 +239,24 @@
         return client.submit(command, LIMIT_MS).get(2 * LIMIT_MS, TimeUnit.MILLISECONDS);
     }
 
-    private String leader() {
-        return services.entrySet().stream()
-                .filter(entry -> entry.getValue().leaderLease().current().isPresent())
-                .map(Map.Entry::getKey)
-                .findFirst()
-                .orElseThrow();
+    /** Finds the leader; a result may arrive just before the leader publishes its lease. */
+    private String leader() throws Exception {
+        long deadlineMs = clock.nowMs() + LIMIT_MS;
+        while (clock.nowMs() < deadlineMs) {
+            Optional<String> leader =
+                    services.entrySet().stream()
+                            .filter(e -> e.getValue().leaderLease().current().isPresent())
+                            .map(Map.Entry::getKey)
+                            .findFirst();
+            if (leader.isPresent()) {
+                return leader.get();
+            }
+            submit(new ControlCommand.ReadHistory(new RecordKey("account", "a")));
+        }
+        throw new AssertionError("no voter leads");
     }
 
-    private String anyFollower() {
+    private String anyFollower() throws Exception {
         String leader = leader();
         return VOTERS.stream().filter(a -> !a.equals(leader)).findFirst().orElseThrow();
     }
