--- a/sapphire-core/src/main/java/io/sapphirestack/core/generation/AttemptBook.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/generation/AttemptBook.java
@@ -17,15 +17,30 @@
      * Creates a book.
      *
      * @param current current attempt as replicated, {@link AttemptRecord#NONE} before the first
+     * @param lastNumber number below the first one that this owner gives out
      */
-    public AttemptBook(AttemptRecord current) {
+    public AttemptBook(AttemptRecord current, int lastNumber) {
         this.current = current;
-        this.lastNumber = current.attempt();
+        this.lastNumber = lastNumber;
         if (current.attempt() > 0) {
             admitted.put(current.attempt(), current);
         }
     }
 
+    /**
+     * Returns the number below the first attempt of an owner that took over.
+     *
+     * <p>Each epoch has numbers of its own. With consecutive numbers a new owner could reuse the
+     * number of an attempt that the earlier owner started unknown to its replicas, and a later
+     * owner could re-attach to that stream, which continues another output.
+     *
+     * @param epoch epoch of the owner
+     * @return a multiple of 1,000 that fits an {@code int}
+     */
+    static int numbersOf(long epoch) {
+        return (int) Math.max(1, epoch % 1_000_000) * 1_000;
+    }
+
     /** Returns the current attempt. */
     public AttemptRecord current() {
         return current;
--- a/sapphire-core/src/main/java/io/sapphirestack/core/generation/GenerationCopy.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/generation/GenerationCopy.java
@@ -46,7 +46,7 @@
      */
     public static GenerationCopy accepted(GenerationSpec spec, InstanceRef self, long revision) {
         GenerationCopy copy = new GenerationCopy(spec, ReplicaSet.initial(self, revision));
-        copy.becomeOwner(self);
+        copy.becomeOwner(self, 0);
         return copy;
     }
 
@@ -207,13 +207,13 @@
                 || replicas.epoch() <= log.epoch()) {
             return false;
         }
-        becomeOwner(first.get());
+        becomeOwner(first.get(), AttemptBook.numbersOf(replicas.epoch()));
         return true;
     }
 
-    private void becomeOwner(InstanceRef self) {
+    private void becomeOwner(InstanceRef self, int lastAttempt) {
         activeAs = self;
-        owner = new GenerationOwner(spec, log, replicas, attempt);
+        owner = new GenerationOwner(spec, log, replicas, new AttemptBook(attempt, lastAttempt));
     }
 
     private AppendReply gap(Append append, long version) {
--- a/sapphire-core/src/main/java/io/sapphirestack/core/generation/GenerationOwner.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/generation/GenerationOwner.java
@@ -50,6 +50,7 @@
         private boolean learner;
         private boolean opened;
         private boolean contacted;
+        private long firstFrom;
         private long next;
         private long acked;
         private long sentHeader;
@@ -62,6 +63,7 @@
             this.ref = ref;
             this.learner = learner;
             this.opened = !learner;
+            this.firstFrom = next;
             this.next = next;
         }
     }
@@ -76,12 +78,13 @@
     private long replicasVersion = 1;
 
     GenerationOwner(
-            GenerationSpec spec, GenerationLog log, ReplicaSet replicas, AttemptRecord attempt) {
+            GenerationSpec spec, GenerationLog log, ReplicaSet replicas, AttemptBook attempts) {
         this.spec = spec;
         this.log = log;
-        this.replicas = replicas;
+        // An earlier owner may have failed before it learned that this member became active.
+        this.replicas = replicas.active() == 0 ? replicas.withNextActive() : replicas;
         this.epoch = replicas.epoch();
-        this.attempts = new AttemptBook(attempt);
+        this.attempts = attempts;
         log.beginEpoch(epoch);
         for (InstanceRef member : replicas.members().subList(1, replicas.members().size())) {
             Peer peer = new Peer(member, false, log.committed());
@@ -341,7 +344,7 @@
     public void onNoReply(InstanceRef ref) {
         Peer peer = peers.get(ref);
         if (peer != null) {
-            peer.next = peer.contacted || peer.learner ? peer.acked : log.committed();
+            peer.next = peer.contacted ? peer.acked : peer.firstFrom;
             peer.sentHeader = peer.ackedHeader;
             peer.sentCommitted = -1;
         }
@@ -367,6 +370,7 @@
                 peer.opened = false;
                 peer.contacted = false;
                 peer.acked = 0;
+                peer.firstFrom = 0;
                 peer.next = 0;
                 peer.ackedHeader = 0;
                 peer.sentHeader = 0;
@@ -377,6 +381,7 @@
                 peer.opened = true;
                 // A late reply must not move the position behind what is acknowledged.
                 peer.next = Math.max(peer.acked, reply.length());
+                peer.firstFrom = peer.next;
                 peer.sentHeader = peer.ackedHeader;
                 return Effect.NONE;
             }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/AttemptRunner.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/AttemptRunner.java
@@ -53,6 +53,9 @@
     /** Time between two looks for an endpoint in milliseconds. */
     private static final long ENDPOINT_POLL_MS = 50;
 
+    /** Longest time between two looks; keeps refusing engines from being asked all the time. */
+    private static final long MAX_ENDPOINT_POLL_MS = 500;
+
     private final GenerationContext context;
     private final EngineClient engines;
     private final HeldGeneration held;
@@ -61,6 +64,7 @@
     private final ResumeSpec resume;
     private final Set<EndpointId> excluded = new HashSet<>();
     private AttemptReason reason;
+    private int fruitlessRounds;
 
     AttemptRunner(
             GenerationContext context,
@@ -108,7 +112,7 @@
             if (placement.isEmpty()) {
                 return;
             }
-            try (DispatchPermit permit = placement.get().permit()) {
+            try {
                 if (runAttempt(placement.get().endpoint()) != Outcome.FAILED) {
                     return;
                 }
@@ -116,6 +120,8 @@
                 // A generation that was accepted must finish, so an unexpected error is retried.
                 GenerationEvents.failedTask("attempt of generation " + held.id(), e);
                 held.await(ENDPOINT_POLL_MS);
+            } finally {
+                placement.get().permit().close();
             }
         }
     }
@@ -157,7 +163,7 @@
                 reported = true;
             }
             excluded.clear();
-            held.await(ENDPOINT_POLL_MS);
+            held.await(Math.min(MAX_ENDPOINT_POLL_MS, ENDPOINT_POLL_MS * ++fruitlessRounds));
         }
         return Optional.empty();
     }
@@ -328,6 +334,7 @@
         }
         switch (offer.get()) {
             case APPENDED, APPENDED_AND_SETTLED -> {
+                fruitlessRounds = 0;
                 long interruptedMs = held.continued(nowMs);
                 if (interruptedMs >= 0) {
                     context.metrics().resumed(interruptedMs);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/EngineClient.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/EngineClient.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.Method;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -69,7 +70,11 @@
         prefix.forEach(tokens::add);
         body.put("maxTokens", spec.maxTokens()).put("priority", priority);
         ClassicHttpRequest request = new BasicClassicHttpRequest(Method.POST, "/v1/streams");
-        request.setEntity(new ByteArrayEntity(bytes(body), ContentType.APPLICATION_JSON));
+        byte[] content = bytes(body);
+        request.setEntity(new ByteArrayEntity(content, ContentType.APPLICATION_JSON));
+        // The connection runs no protocol interceptors that would add these headers.
+        request.setHeader(HttpHeaders.CONTENT_LENGTH, content.length);
+        request.setHeader(HttpHeaders.CONTENT_TYPE, ContentType.APPLICATION_JSON);
         return stream("start", address, request, silenceMs);
     }
 
