--- a/sapphire-core/src/main/java/io/sapphirestack/core/limit/AccountLimiter.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/limit/AccountLimiter.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntSupplier;
@@ -43,6 +44,7 @@
     private final IntSupplier liveInstances;
     private final MillisClock clock;
     private final Map<AccountId, Account> accounts = new ConcurrentHashMap<>();
+    private final Set<Integer> nearLimit = ConcurrentHashMap.newKeySet();
 
     /**
      * Creates a limiter.
@@ -74,13 +76,20 @@
      */
     public void admitRequest(AccountId id, AccountSpec spec) throws RefusedException {
         long nowMs = clock.nowMs();
+        AccountUsage elsewhere = others.get().of(id);
+        Account account = account(id, nowMs);
+        recordUse(
+                id,
+                2 * (account.usage(nowMs).admittedPerS() + elsewhere.admittedPerS())
+                                >= spec.maxRequestsPerS()
+                        || 2 * (account.usage(nowMs).concurrent() + elsewhere.concurrent())
+                                >= spec.maxConcurrentGenerations());
         boolean admitted =
-                account(id, nowMs)
-                        .tryRequest(
-                                nowMs,
-                                spec.maxRequestsPerS(),
-                                others.get().of(id),
-                                Math.max(1, liveInstances.getAsInt()));
+                account.tryRequest(
+                        nowMs,
+                        spec.maxRequestsPerS(),
+                        elsewhere,
+                        Math.max(1, liveInstances.getAsInt()));
         if (!admitted) {
             throw refused(id + " may send " + spec.maxRequestsPerS() + " requests per second.");
         }
@@ -149,6 +158,25 @@
         return new UsageTable(usage);
     }
 
+    /**
+     * Tells whether an account uses at least half of a limit, as known here, so that its use is
+     * worth disseminating often.
+     *
+     * @param handle short name of the account, see {@link UsageTable#handleOf}
+     * @return whether it is near a limit
+     */
+    public boolean isNearLimit(int handle) {
+        return nearLimit.contains(handle);
+    }
+
+    private void recordUse(AccountId id, boolean near) {
+        if (near) {
+            nearLimit.add(UsageTable.handleOf(id));
+        } else if (!nearLimit.isEmpty()) {
+            nearLimit.remove(UsageTable.handleOf(id));
+        }
+    }
+
     private Account account(AccountId id, long nowMs) {
         return accounts.computeIfAbsent(id, key -> new Account(nowMs));
     }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportCodec.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportCodec.java
@@ -16,12 +16,14 @@
 import java.util.function.IntFunction;
 
 /**
- * Binary form of report batches. A load-only report takes 10 bytes: short name 4, low bits of the
- * sequence 2, age, running, queued and output rate 1 each.
+ * Binary form of report batches. A load-only report of an endpoint that queues only when its slots
+ * are full takes 8 bytes: short name 4, low bits of the sequence 2, age 1, running and queued
+ * together 1. The output rate is left out of it; receivers keep the rate they know, because routing
+ * does not use it.
  */
 public final class ReportCodec {
     private static final int FORM_LOAD = 0;
-    private static final int FORM_LOAD_EVENTS = 1;
+    private static final int FORM_LOAD_LONG = 1;
     private static final int FORM_FULL = 2;
     private static final int FORM_BITS = 2;
 
@@ -105,7 +107,16 @@
         if (!report.isLoadOnly()) {
             return FORM_FULL;
         }
-        return report.cacheEvents().isEmpty() ? FORM_LOAD : FORM_LOAD_EVENTS;
+        EndpointLoad load = report.load();
+        boolean derivable =
+                load.equals(split(load.running() + load.queued(), load.slots(), load.tokensPerS()));
+        return derivable && report.cacheEvents().isEmpty() ? FORM_LOAD : FORM_LOAD_LONG;
+    }
+
+    /** Splits a load into running and queued work of an endpoint that fills its slots first. */
+    private static EndpointLoad split(int load, int slots, double tokensPerS) {
+        int running = slots > 0 ? Math.min(load, slots) : load;
+        return new EndpointLoad(running, load - running, slots, tokensPerS);
     }
 
     private static void write(DataOutputStream out, EndpointReport report, int form)
@@ -123,10 +134,12 @@
         out.writeByte(
                 (int) Math.min(255, (Math.max(0, report.ageMs()) + AGE_UNIT_MS / 2) / AGE_UNIT_MS));
         EndpointLoad load = report.load();
-        writeVarint(out, load.running());
-        writeVarint(out, load.queued());
-        out.writeByte(encodeRate(load.tokensPerS()));
-        if (form != FORM_LOAD) {
+        if (form == FORM_LOAD) {
+            writeVarint(out, load.running() + load.queued());
+        } else {
+            writeVarint(out, load.running());
+            writeVarint(out, load.queued());
+            out.writeByte(encodeRate(load.tokensPerS()));
             writeVarint(out, report.cacheEvents().size());
             for (CacheEvent event : report.cacheEvents()) {
                 // The lowest bit is given up for the flag, which saves a byte per event.
@@ -145,8 +158,8 @@
         short lowSequence = in.getShort();
         long ageMs = (in.get() & 0xff) * AGE_UNIT_MS;
         int running = (int) readVarint(in);
-        int queued = (int) readVarint(in);
-        double rate = decodeRate(in.get());
+        int queued = form == FORM_LOAD ? 0 : (int) readVarint(in);
+        double rate = form == FORM_LOAD ? 0 : decodeRate(in.get());
         List<CacheEvent> events = form == FORM_LOAD ? List.of() : readEvents(in);
         KnownEndpoint known = resolver.apply(handle);
         if (known == null) {
@@ -161,7 +174,9 @@
                         sequence,
                         Math.min(sequence, known.detailsSequence()),
                         ageMs,
-                        new EndpointLoad(running, queued, known.details().slots(), rate),
+                        form == FORM_LOAD
+                                ? split(running, known.details().slots(), known.load().tokensPerS())
+                                : new EndpointLoad(running, queued, known.details().slots(), rate),
                         Optional.empty(),
                         events));
     }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/UsageAggregator.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/UsageAggregator.java
@@ -25,12 +25,21 @@
  * views would count use repeatedly. Not thread-safe.
  */
 public final class UsageAggregator {
-    /** Accounts far below their limit are sent this rarely, in milliseconds. */
+    /** Accounts far below their limit are sent at most this often, in milliseconds. */
     public static final long RELAXED_INTERVAL_MS = 2_000;
 
+    /**
+     * Interval per account for accounts far below their limit. It bounds their traffic to 0.5 KB/s
+     * per edge and direction, whatever the number of accounts.
+     */
+    private static final long RELAXED_MS_PER_ACCOUNT = 20;
+
     /** Accounts near their limit are sent this often, in milliseconds. */
     public static final long URGENT_INTERVAL_MS = 200;
 
+    /** Up to this many accounts are all sent at the urgent interval; the traffic is small then. */
+    public static final int MAX_URGENT_ACCOUNTS = 100;
+
     private final Map<InstanceId, Map<Integer, AccountUsage>> received = new HashMap<>();
     private final Map<InstanceId, Map<Integer, Sent>> sent = new HashMap<>();
 
@@ -128,9 +137,11 @@
         handles.addAll(before.keySet());
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         bytes.write(full ? FULL : CHANGES);
+        boolean few = handles.size() <= MAX_URGENT_ACCOUNTS;
+        long relaxedMs = Math.max(RELAXED_INTERVAL_MS, RELAXED_MS_PER_ACCOUNT * handles.size());
         for (int handle : handles) {
             Sent last = before.get(handle);
-            long intervalMs = urgent.test(handle) ? URGENT_INTERVAL_MS : RELAXED_INTERVAL_MS;
+            long intervalMs = few || urgent.test(handle) ? URGENT_INTERVAL_MS : relaxedMs;
             if (last != null && nowMs - last.atMs() < intervalMs) {
                 continue;
             }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/routing/PrefixIndex.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/PrefixIndex.java
@@ -20,6 +20,7 @@
     public static final int DEFAULT_BLOCKS_PER_ENDPOINT = 2_048;
 
     private static final int BUCKET_SLOTS = 8;
+    private static final int SAMPLE_BLOCKS = 8;
 
     /** The lowest bit of a hash is not carried by the dissemination of cache events. */
     private static final long HASH_MASK = ~1L;
@@ -112,7 +113,7 @@
      */
     public int cachedBlocks(EndpointId id, long epochMs, PrefixHashes prefix) {
         BlockSet set = sets.get(id);
-        if (set == null || set.epochMs != epochMs) {
+        if (set == null || set.epochMs != epochMs || !set.containsSample(prefix)) {
             return 0;
         }
         for (int i = prefix.size() - 1; i >= 0; i--) {
@@ -170,6 +171,26 @@
             return false;
         }
 
+        /**
+         * Tells whether any of a few blocks is known. Most endpoints hold nothing of a prompt, and
+         * looking for each of its blocks there takes most of a decision. A short prefix shows in
+         * the first blocks, a long one in the others even if events were lost.
+         */
+        boolean containsSample(PrefixHashes prefix) {
+            int size = prefix.size();
+            if (size <= SAMPLE_BLOCKS) {
+                return true;
+            }
+            for (int i = 0; i < SAMPLE_BLOCKS / 2; i++) {
+                int spread = size - 1 - i * size / SAMPLE_BLOCKS;
+                if (contains(normalize(prefix.hash(i)))
+                        || contains(normalize(prefix.hash(spread)))) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         synchronized void add(long hash) {
             int start = bucket(hash);
             int free = 0;
