Let instances lose the membership log in the generation sequences

Cause: on a scratch copy, removing the epoch checks was not noticed: every instance learned of evictions too soon for a superseded owner to go on. Change: steps that cut an instance off from the membership log while its other traffic works.

--- a/sapphire-core/src/test/java/io/sapphirestack/core/generation/GenerationStatefulTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/generation/GenerationStatefulTests.java
@@ -60,6 +60,8 @@
             ActionChainArbitrary<GenerationWorld> start) {
         return start.withAction(60, step("deliver", (world, n) -> world.deliver(n, false)))
                 .withAction(60, step("work", (world, n) -> world.work(node(world, n), n / 7)))
+                .withAction(6, step("blind", (world, n) -> world.blind(node(world, n), true)))
+                .withAction(4, step("see", (world, n) -> world.blind(node(world, n), false)))
                 .withAction(4, step("duplicate", (world, n) -> world.deliver(n, true)))
                 .withAction(3, step("drop", GenerationWorld::drop))
                 .withAction(25, step("send", (world, n) -> world.send(node(world, n))))
--- a/sapphire-core/src/test/java/io/sapphirestack/core/generation/GenerationWorld.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/generation/GenerationWorld.java
@@ -37,6 +37,7 @@
         GenerationCopy copy;
         int seenEvents;
         boolean up = true;
+        boolean blind;
         final List<Connection> connections = new ArrayList<>();
 
         Node(String name) {
@@ -213,7 +214,7 @@
     }
 
     void learn(Node node, int events) {
-        if (!node.up) {
+        if (!node.up || node.blind) {
             return;
         }
         node.seenEvents = Math.min(log.size(), node.seenEvents + events);
@@ -222,6 +223,11 @@
         }
     }
 
+    /** Cuts an instance off from the membership log for a while, but not from the others. */
+    void blind(Node node, boolean blind) {
+        node.blind = blind;
+    }
+
     void evict(List<Node> batch) {
         noteActivation();
         List<InstanceRef> refs = new ArrayList<>();
@@ -434,6 +440,7 @@
         // covered: it cannot know whether one of them continued without it.
         boolean mustFinish = !lossWhileActivating && nodes.stream().anyMatch(this::isHolder);
         evictDead();
+        nodes.forEach(node -> blind(node, false));
         nodes.forEach(this::rejoin);
         for (int round = 0; round < 60; round++) {
             for (Node node : nodes) {
