--- a/sapphire-core/src/test/java/io/sapphirestack/core/generation/GenerationWorld.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/generation/GenerationWorld.java
@@ -220,6 +220,9 @@
         node.seenEvents = Math.min(log.size(), node.seenEvents + events);
         if (node.copy != null) {
             node.copy.applyEvents(seen(node), node.lineage);
+            if (node.seenEvents < log.size()) {
+                noteActivation();
+            }
         }
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/DefaultGenerationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/DefaultGenerationService.java
@@ -113,6 +113,7 @@
         if (ticking != null) {
             ticking.cancel(false);
         }
+        store.all().forEach(HeldGeneration::halt);
         store.all().forEach(ownership::stop);
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/HeldGeneration.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/HeldGeneration.java
@@ -51,6 +51,7 @@
     private long runnersEpoch = -1;
     private long countedCommitted;
     private boolean refused;
+    private boolean halted;
     private long interruptedSinceMs = -1;
     private volatile long lastContactMs;
     private volatile long finishedAtMs = -1;
@@ -98,13 +99,21 @@
     }
 
     synchronized boolean owns(long epoch) {
-        return !refused && copy.owner().filter(owner -> owner.epoch() == epoch).isPresent();
+        return !refused
+                && !halted
+                && copy.owner().filter(owner -> owner.epoch() == epoch).isPresent();
     }
 
     synchronized boolean needsAttempt(long epoch) {
         return owns(epoch) && !copy.log().ended();
     }
 
+    /** Ends the attempts of a service that stops; closed streams must not start new ones. */
+    synchronized void halt() {
+        halted = true;
+        notifyAll();
+    }
+
     /** Stops an acceptance that was not confirmed, unless a replica may already take over. */
     synchronized boolean refuse() {
         if (copy.replicas().active() > 1) {
