--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
@@ -17,9 +17,8 @@
         super();
     }
 
-    /** Makes this class the log manager and sends all events to the standard error stream. */
+    /** Sends all events to the standard error stream. */
     static void install() {
-        System.setProperty("java.util.logging.manager", DaemonLogManager.class.getName());
         System.setProperty("org.jboss.logging.provider", "jdk");
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceLifecycle.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceLifecycle.java
@@ -38,7 +38,7 @@
     static final long LEAVING_MS = 3_000;
 
     private static final EventLog LOG = EventLog.of(InstanceLifecycle.class);
-    private static final long TICK_MS = 50;
+    private static final long TICK_MS = 100;
     private static final long CONTROL_TIMEOUT_MS = 3_000;
     private static final String STOP_KIND = "stop";
 
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/Sapphired.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/Sapphired.java
@@ -38,6 +38,8 @@
     public static void main(String[] arguments) {
         // The schema validator logs through SLF4J, for which there is no provider.
         System.setProperty("slf4j.internal.verbosity", "ERROR");
+        // Must come before the first use of the class, which also initializes the JDK's manager.
+        System.setProperty("java.util.logging.manager", "io.sapphirestack.daemon.DaemonLogManager");
         DaemonLogManager.install();
         System.exit(run(arguments, System.out, System.err));
     }
