Add the demonstration and the load command

Cause: the whole system must be shown and measured from a caller's side. Change: bin/demo starts 10 instances, 6 engines, 2 plain services and a weight store as processes, submits records, kills an engine and an entry instance, cuts orders, changes a record and plans stops, and prints what held. standin load sends an open-loop load. Both use a caller that follows docs/api.md and checks every token.

--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/StandIns.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/StandIns.java
@@ -1,6 +1,8 @@
 package io.sapphirestack.standins;
 
+import io.sapphirestack.standins.demo.DemoCommand;
 import io.sapphirestack.standins.engine.EngineCommand;
+import io.sapphirestack.standins.load.LoadCommand;
 import io.sapphirestack.standins.service.ServiceCommand;
 import io.sapphirestack.standins.weights.WeightsCommand;
 import java.io.IOException;
@@ -46,6 +48,8 @@
                 "run a weight store",
                 WeightsCommand::addTo,
                 WeightsCommand::run);
+        add(subparsers, "load", "send load", LoadCommand::addTo, LoadCommand::run);
+        add(subparsers, "demo", "run the demonstration", DemoCommand::addTo, DemoCommand::run);
         Namespace arguments;
         try {
             arguments = parser.parseArgs(args);
--- /dev/null
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/DemoCommand.java
@@ -0,0 +1,67 @@
+package io.sapphirestack.standins.demo;
+
+import io.sapphirestack.core.time.MillisClock;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+/** Subcommand that runs the demonstration. Stateless. */
+public final class DemoCommand {
+
+    private DemoCommand() {}
+
+    /**
+     * Adds the arguments.
+     *
+     * @param parser parser of the subcommand
+     */
+    public static void addTo(Subparser parser) {
+        parser.addArgument("--root")
+                .setDefault(System.getProperty("sapphire.root", "."))
+                .help("root of the repository");
+    }
+
+    /**
+     * Runs the demonstration.
+     *
+     * @param arguments parsed arguments
+     * @return 0 if everything held, otherwise 1
+     * @throws IOException if a process cannot be started
+     * @throws InterruptedException if the demonstration is interrupted
+     */
+    public static int run(Namespace arguments) throws IOException, InterruptedException {
+        MillisClock clock = MillisClock.monotonic();
+        long startMs = clock.nowMs();
+        Path folder = Files.createTempDirectory("sapphire-demo");
+        DemoReport report = new DemoReport();
+        ExecutorService executor =
+                Executors.newCachedThreadPool(
+                        task -> {
+                            Thread thread = new Thread(task, "caller");
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        try (ProcessGroup processes = new ProcessGroup(folder)) {
+            DemoFleet fleet =
+                    new DemoFleet(Path.of(arguments.getString("root")), folder, processes);
+            fleet.start();
+            new DemoScenario(fleet, report, executor).run();
+        } catch (IOException e) {
+            report.add("a step", "could be carried out", false, e.getMessage());
+        } finally {
+            executor.shutdownNow();
+        }
+        System.out.print(report);
+        boolean held = report.allHeld();
+        System.out.printf(
+                "%s after %d ms; logs and data are in %s%n",
+                held ? "Everything held" : "Something did not hold",
+                clock.nowMs() - startMs,
+                folder);
+        return held ? 0 : 1;
+    }
+}
