--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/DemoReport.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/DemoReport.java
@@ -10,6 +10,8 @@
 
     synchronized void add(String done, String rule, boolean held, String measured) {
         lines.add(new Line(done, rule, held, measured));
+        // Progress, so that a run that is interrupted shows how far it came.
+        System.err.printf("%s: %s (%s)%n", done, held ? "held" : "DID NOT HOLD", measured);
     }
 
     synchronized boolean allHeld() {
