Attribute waits to the loss that they began at, and keep the fleet for load

Cause: a stream that waited 10 s after the loss of the engine was counted for the entry instance, because the wait ended after the second kill. ReadRetryBudget.of passes both operations of a budget, so that it also earns credit.

--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/DefaultReadServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/DefaultReadServiceTests.java
@@ -30,6 +30,7 @@
             List.of(OrderFixtures.endpoint("s1", "a1"), OrderFixtures.endpoint("s2", "a2"));
     private final List<String> log = new ArrayList<>();
     private final Map<String, Deque<String>> plans = new HashMap<>();
+    private final List<String> requested = new ArrayList<>();
     private final AtomicInteger budget = new AtomicInteger(10);
     private final DefaultReadService service = service(Runnable::run);
 
@@ -42,7 +43,7 @@
                 OrderFixtures.firstOf(endpoints),
                 (endpoint, kind) -> () -> {},
                 this::open,
-                name -> budget.getAndDecrement() > 0,
+                ReadRetryBudget.of(requested::add, name -> budget.getAndDecrement() > 0),
                 executor,
                 WaitStrategy.blocking(nowMs::get),
                 nowMs::get);
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/DemoCommand.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/DemoCommand.java
@@ -23,6 +23,10 @@
         parser.addArgument("--root")
                 .setDefault(System.getProperty("sapphire.root", "."))
                 .help("root of the repository");
+        parser.addArgument("--keep-s")
+                .type(Long.class)
+                .setDefault(0L)
+                .help("seconds for which the fleet goes on after the last step");
     }
 
     /**
@@ -50,6 +54,7 @@
                     new DemoFleet(Path.of(arguments.getString("root")), folder, processes);
             fleet.start();
             new DemoScenario(fleet, report, executor).run();
+            keep(fleet, arguments.getLong("keep_s"));
         } catch (IOException e) {
             report.add("a step", "could be carried out", false, e.getMessage());
         } finally {
@@ -64,4 +69,13 @@
                 folder);
         return held ? 0 : 1;
     }
+
+    private static void keep(DemoFleet fleet, long seconds) throws InterruptedException {
+        if (seconds > 0) {
+            System.err.printf(
+                    "The fleet goes on for %d s: --entry %s --key %s%n",
+                    seconds, String.join(",", fleet.instanceAddresses()), DemoFleet.ACCOUNT_KEY);
+            Thread.sleep(seconds * 1_000);
+        }
+    }
 }
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/DemoScenario.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/DemoScenario.java
@@ -20,6 +20,8 @@
     private static final String ACCOUNT = "acme";
     private static final long RESUME_LIMIT_MS = 5_000;
     private static final long BETWEEN_LOSSES_MS = 2_500;
+    // A wait belongs to the loss that it began at; the last token came shortly before the loss.
+    private static final long TOKEN_MARGIN_MS = 300;
     private static final long CONFIG_LIMIT_MS = 11_000;
 
     private final DemoFleet fleet;
@@ -126,8 +128,9 @@
         killed.add(entry);
         List<GenerationResult> results = batch.results();
         boolean whole = GenerationBatch.allComplete(results);
-        long engineGapMs = longestGap(results, engineKilledMs, entryKilledMs);
-        long entryGapMs = longestGap(results, entryKilledMs, Long.MAX_VALUE);
+        long splitMs = entryKilledMs - TOKEN_MARGIN_MS;
+        long engineGapMs = longestGap(results, engineKilledMs - TOKEN_MARGIN_MS, splitMs);
+        long entryGapMs = longestGap(results, splitMs, Long.MAX_VALUE);
         report.add(
                 "16 generations of 600 tokens; SIGKILL of engine " + engine,
                 "every token once and as expected",
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/load/GenerationResult.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/load/GenerationResult.java
@@ -21,16 +21,16 @@
         List<Long> arrivals) {
 
     /**
-     * Returns the longest wait for a token that ended within a period.
+     * Returns the longest wait for a token that began within a period.
      *
      * @param fromMs begin of the period
      * @param untilMs end of the period, exclusive
-     * @return milliseconds, 0 if no token came
+     * @return milliseconds, 0 if there was no wait
      */
     public long longestGapMs(long fromMs, long untilMs) {
         long longest = 0;
         for (int i = 1; i < arrivals.size(); i++) {
-            if (arrivals.get(i) >= fromMs && arrivals.get(i) < untilMs) {
+            if (arrivals.get(i - 1) >= fromMs && arrivals.get(i - 1) < untilMs) {
                 longest = Math.max(longest, arrivals.get(i) - arrivals.get(i - 1));
             }
         }
--- a/sapphire-standins/src/test/java/io/sapphirestack/standins/load/GenerationCallerTests.java
+++ b/sapphire-standins/src/test/java/io/sapphirestack/standins/load/GenerationCallerTests.java
@@ -39,11 +39,11 @@
     }
 
     @Test
-    void longestGapCountsWithinThePeriodOnly() {
+    void longestGapCountsIfItBeganWithinThePeriod() {
         GenerationResult result =
                 new GenerationResult("g", 4, true, "", 0, java.util.List.of(0L, 100L, 400L, 420L));
         assertThat(result.longestGapMs(0, 1_000)).isEqualTo(300);
-        assertThat(result.longestGapMs(0, 400)).isEqualTo(100);
-        assertThat(result.longestGapMs(401, 1_000)).isEqualTo(20);
+        assertThat(result.longestGapMs(0, 100)).isEqualTo(100);
+        assertThat(result.longestGapMs(400, 1_000)).isEqualTo(20);
     }
 }
