--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/GenerationHandlers.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/GenerationHandlers.java
@@ -188,7 +188,7 @@
         ControlView view = services.blackboard().control().read();
         Optional<ModelSpec> spec =
                 view.record(key("model", model)).flatMap(services.specs()::model);
-        String service = spec.map(ModelSpec::service).orElse("unknown");
+        String service = spec.map(ModelSpec::service).orElse(StreamObserver.UNKNOWN);
         ObjectivesSpec objectives =
                 spec.flatMap(found -> view.record(key("service", found.service())))
                         .flatMap(services.specs()::service)
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/StreamObserver.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/StreamObserver.java
@@ -7,6 +7,9 @@
 /** Measures the tokens of one stream against the objectives of its service. Used by one thread. */
 final class StreamObserver {
 
+    /** Service of a stream whose model has no record any more. */
+    static final String UNKNOWN = "unknown";
+
     private final Metrics metrics;
     private final ObjectiveEvents events;
     private final MillisClock clock;
@@ -38,11 +41,16 @@
         if (lastTokensAtMs >= 0) {
             long gapMs = nowMs - lastTokensAtMs;
             metrics.tokens(service, count, gapMs);
-            events.betweenTokens(service, gapMs, objectives.betweenTokensMs());
+            // The report on burn looks up the record of each service that it names.
+            if (!service.equals(UNKNOWN)) {
+                events.betweenTokens(service, gapMs, objectives.betweenTokensMs());
+            }
         } else if (fromStart) {
             long latencyMs = nowMs - startedAtMs;
             metrics.firstToken(service, latencyMs);
-            events.firstToken(service, latencyMs, objectives.firstTokenMs());
+            if (!service.equals(UNKNOWN)) {
+                events.firstToken(service, latencyMs, objectives.firstTokenMs());
+            }
         }
         lastTokensAtMs = nowMs;
     }
