Send sums in full only after a loss, and document the measurement commands

Cause: each exchange still sent all sums, which hid the missing full message after a lost batch from the tests.

--- a/sapphire-core/src/test/java/io/sapphirestack/core/routing/RoutingComparison.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/routing/RoutingComparison.java
@@ -23,8 +23,14 @@
 
 /**
  * Compares strategies on fake engines with a fixed seed: ten instances decide independently, loads
- * are reported late and cache events arrive late and with gaps. Run with {@code main}; see
- * docs/CAPACITY.md for the command.
+ * are reported late and cache events arrive late and with gaps. Takes about five minutes:
+ *
+ * <pre>
+ * mvn -B -ntp -q test-compile dependency:build-classpath -pl sapphire-core \
+ *     -Dmdep.outputFile=/tmp/core.cp -Dmdep.includeScope=test
+ * java -cp sapphire-core/target/test-classes:sapphire-core/target/classes:$(cat /tmp/core.cp) \
+ *     io.sapphirestack.core.routing.RoutingComparison
+ * </pre>
  */
 final class RoutingComparison {
     private static final int INSTANCES = 10;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
@@ -185,9 +185,6 @@
                 if (exchangeDue) {
                     neighbour.exchanging = true;
                     neighbour.nextExchangeMs = nowMs + EXCHANGE_MS;
-                    // The neighbour may have dropped the sums in a view that this instance never
-                    // had.
-                    resendSums(neighbour);
                     sends.add(() -> startExchange(neighbour));
                 }
             }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/CapacitySlopes.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/CapacitySlopes.java
@@ -50,7 +50,14 @@
 /**
  * Measures how routing and dissemination grow with the fleet, with a fixed seed and in one process:
  * real registries and spread services, real MessagePack bodies, and a transport that counts bytes.
- * Run with {@code main}; see docs/CAPACITY.md for the command.
+ * Takes several minutes:
+ *
+ * <pre>
+ * mvn -B -ntp -q test-compile dependency:build-classpath -pl sapphire-core,sapphire-runtime -am \
+ *     -Dmdep.outputFile=/tmp/rt.cp -Dmdep.includeScope=test
+ * java -Xmx3g -cp sapphire-runtime/target/test-classes:sapphire-runtime/target/classes:\
+ * sapphire-core/target/classes:$(cat /tmp/rt.cp) io.sapphirestack.runtime.endpoint.CapacitySlopes
+ * </pre>
  */
 final class CapacitySlopes {
     private static final String KEY = "secret";
