--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
@@ -49,6 +49,12 @@
      */
     public static final int MAX_CACHE_EVENTS = 64;
 
+    /**
+     * The same above {@link InFlightAggregator#MAX_ENDPOINTS} endpoints, where the load reports
+     * leave little of the budget of 22 KB/s.
+     */
+    public static final int MAX_CACHE_EVENTS_LARGE = 2;
+
     private static final long CALL_TIMEOUT_MS = 1_000;
     private static final Logger LOG = Logger.getLogger(SpreadService.class);
 
@@ -229,8 +235,12 @@
             long nowMs) {
         List<EndpointReport> reports = new ArrayList<>(neighbour.pending.size());
         int events = 0;
+        int maxEvents =
+                registry.size() <= InFlightAggregator.MAX_ENDPOINTS
+                        ? MAX_CACHE_EVENTS
+                        : MAX_CACHE_EVENTS_LARGE;
         for (EndpointReport report : neighbour.pending.values()) {
-            EndpointReport out = withEvents(report, MAX_CACHE_EVENTS - events);
+            EndpointReport out = withEvents(report, maxEvents - events);
             events += out.cacheEvents().size();
             long queuedMs = nowMs - neighbour.pendingSinceMs.get(report.id());
             reports.add(out.withAge(report.ageMs() + queuedMs));
