Measure what an idle fleet costs

Cause: docs/CAPACITY.md needs slopes for processor time, memory and traffic per role. Change: the transport counts its bytes; `standin fleet-cost` starts fleets of several sizes and samples its own processes by role.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -152,6 +152,10 @@
                         guard,
                         scheduler,
                         clock);
+        metrics.gauge(
+                "sapphire_peer_transferred_bytes",
+                "Bytes sent to and received from other instances.",
+                () -> listener.loop().transferredBytes());
         this.frontend = frontend();
         this.watcher = watcher();
         this.lifecycle =
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
@@ -131,6 +131,7 @@
         if (count < 0) {
             throw new EOFException("the peer closed the connection");
         }
+        loop.countBytes(count);
         lastReceivedMs = loop.nowMs();
         reads++;
         buffer.flip();
@@ -157,6 +158,7 @@
                 buffer.flip();
                 int wanted = buffer.remaining();
                 int count = channel.write(buffer);
+                loop.countBytes(count);
                 consume(count);
                 if (count < wanted) {
                     break;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerEventLoop.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerEventLoop.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * The one thread that reads and writes all connections to other instances, and the pool on which
@@ -32,6 +33,7 @@
     private static final int MAX_HANDLER_THREADS = 64;
     private static final long CLOSE_WAIT_MS = 2_000;
 
+    private final LongAdder transferredBytes = new LongAdder();
     private final MillisClock clock = MillisClock.monotonic();
     private final Selector selector;
     private final Thread thread;
@@ -61,6 +63,15 @@
         thread.start();
     }
 
+    /** Returns the bytes written to and read from other instances so far; thread-safe. */
+    public long transferredBytes() {
+        return transferredBytes.sum();
+    }
+
+    final void countBytes(long count) {
+        transferredBytes.add(count);
+    }
+
     /** Receives the events of one channel, on the thread of the loop. */
     interface ReadyHandler {
         void onReady(SelectionKey key) throws IOException;
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/StandIns.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/StandIns.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.standins;
 
 import io.sapphirestack.standins.demo.DemoCommand;
+import io.sapphirestack.standins.demo.FleetCostCommand;
 import io.sapphirestack.standins.engine.EngineCommand;
 import io.sapphirestack.standins.load.LoadCommand;
 import io.sapphirestack.standins.service.ServiceCommand;
@@ -55,6 +56,12 @@
                 "show the system under faults",
                 DemoCommand::addTo,
                 DemoCommand::run);
+        add(
+                subparsers,
+                "fleet-cost",
+                "measure what an idle fleet costs",
+                FleetCostCommand::addTo,
+                FleetCostCommand::run);
         Namespace arguments;
         try {
             arguments = parser.parseArgs(args);
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/Fleet.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/Fleet.java
@@ -302,6 +302,20 @@
         return List.copyOf(instanceNames);
     }
 
+    /** Returns the role of an instance: leader, voter or entry. */
+    String role(int index, String leaderPeerAddress) throws IOException {
+        String name = instanceNames.get(index);
+        String peer =
+                MAPPER.readTree(Files.readString(settingsFile(name)))
+                        .path("peer")
+                        .path("listen")
+                        .asText();
+        if (peer.equals(leaderPeerAddress)) {
+            return "leader";
+        }
+        return index < plan.voters() ? "voter" : "entry";
+    }
+
     /** Returns the HTTP addresses of the instances, separated by commas. */
     public String addresses() {
         return String.join(",", instanceNames.stream().map(addresses::get).toList());
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/HttpProbe.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/demo/HttpProbe.java
@@ -43,6 +43,22 @@
         }
     }
 
+    /** Returns the value of a metric without labels, or NaN if it is not reported. */
+    static double metric(String address, String name) {
+        try {
+            return get(address, "/metrics")
+                    .body()
+                    .lines()
+                    .filter(line -> line.startsWith(name + " "))
+                    .mapToDouble(
+                            line -> Double.parseDouble(line.substring(name.length() + 1).trim()))
+                    .findFirst()
+                    .orElse(Double.NaN);
+        } catch (IOException e) {
+            return Double.NaN;
+        }
+    }
+
     private static HttpResponse<String> get(String address, String path) throws IOException {
         try {
             HttpRequest request =
