Let only active members take over after all members were evicted

Cause: found while reading. When no member remained, every member was noted as a possible next owner, also one that was being added and had never become active. An owner before it may not have known it and delivered tokens that it lacks; on joining again it would have continued from its shorter copy. Change: only active members can take over then. Conclusion: safety before progress: such a generation waits for an active member.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/generation/ReplicaSet.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/generation/ReplicaSet.java
@@ -17,8 +17,8 @@
  * @param active how many of the first members may take over. A member that the owner has just added
  *     is not active until all members before it know the longer list; otherwise one of them could
  *     continue without the new member, whose copy would then be incomplete
- * @param pending members that were live just before no member remained; empty while there is an
- *     owner
+ * @param pending active members that were live just before no member remained; empty while there is
+ *     an owner
  */
 public record ReplicaSet(
         long asOf, long epoch, List<InstanceRef> members, int active, List<InstanceRef> pending) {
@@ -119,7 +119,8 @@
             return this;
         }
         if (remaining.isEmpty()) {
-            return new ReplicaSet(asOf, epoch, List.of(), 0, members);
+            // A member that never became active may lack tokens of an owner that did not know it.
+            return new ReplicaSet(asOf, epoch, List.of(), 0, members.subList(0, active));
         }
         boolean sameOwner = remaining.get(0).equals(members.get(0));
         return new ReplicaSet(asOf, sameOwner ? epoch : index, remaining, stillActive, List.of());
--- a/sapphire-core/src/test/java/io/sapphirestack/core/generation/ReplicaSetTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/generation/ReplicaSetTests.java
@@ -44,6 +44,24 @@
         assertThat(set.epoch()).isEqualTo(6);
     }
 
+    /**
+     * Guards against a second owner: a member that never became active may not know what an owner
+     * before it delivered, so it takes nothing over when it joins again.
+     */
+    @Test
+    void memberThatWasNeverActiveDoesNotTakeOverWhenItJoinsAgain() {
+        ReplicaSet growing = new ReplicaSet(5, 5, List.of(A, B, C), 2, List.of());
+
+        ReplicaSet set =
+                growing.apply(
+                        List.of(
+                                new Evicted(6, List.of(A, B, C), "t"),
+                                new Joined(7, ref("c", 2), Optional.of(C))));
+
+        assertThat(set.owner()).isEmpty();
+        assertThat(set.pending()).containsExactly(A, B);
+    }
+
     /** Guards against a result that depends on how late and in what portions events arrive. */
     @Test
     void portionsOfEventsGiveTheSameSet() {
