Share the periodic run of dissemination and model control

Cause: ModelController and SpreadService had the same code to start, guard and stop their periodic step. Change: PeriodicTask holds it; the two classes keep only the step and its log event. Conclusion: behaviour is unchanged.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/ModelController.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/ModelController.java
@@ -22,8 +22,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -74,7 +72,8 @@
     private final ModelPlanner planner = new ModelPlanner();
     private long term = LeaderLease.NONE.term();
     private long termStartMs;
-    private ScheduledFuture<?> schedule;
+    private final PeriodicTask periodic =
+            new PeriodicTask(this::tick, TICK_MS, e -> LOG.error("SAP3020 Model step failed", e));
 
     /**
      * Creates a controller.
@@ -137,32 +136,12 @@
      * @param scheduler runs {@link #tick()}
      */
     public void start(ScheduledExecutorService scheduler) {
-        synchronized (lock) {
-            if (schedule != null) {
-                throw new IllegalStateException("already started");
-            }
-            schedule =
-                    scheduler.scheduleWithFixedDelay(
-                            this::tickSafely, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-        }
+        periodic.start(scheduler);
     }
 
     @Override
     public void close() {
-        synchronized (lock) {
-            if (schedule != null) {
-                schedule.cancel(false);
-            }
-        }
-    }
-
-    /** An exception would end the schedule, so it is logged instead. */
-    private void tickSafely() {
-        try {
-            tick();
-        } catch (RuntimeException e) {
-            LOG.error("SAP3020 Model step failed", e);
-        }
+        periodic.close();
     }
 
     /** Compares wanted and actual state once, and starts what is due. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
@@ -27,8 +27,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 
@@ -74,7 +72,9 @@
     private Set<InstanceInfo> treeMembers = Set.of();
     private InstanceId own;
     private SpreadTree tree = new SpreadTree(List.of(), 1);
-    private ScheduledFuture<?> schedule;
+    private final PeriodicTask periodic =
+            new PeriodicTask(
+                    this::tick, BATCH_MS, e -> LOG.error("SAP3010 Dissemination step failed", e));
 
     /**
      * Creates a service and makes it the spreader of the registry.
@@ -142,32 +142,12 @@
      * @param scheduler runs {@link #tick()} and {@link EndpointRegistry#tick()}
      */
     public void start(ScheduledExecutorService scheduler) {
-        synchronized (lock) {
-            if (schedule != null) {
-                throw new IllegalStateException("already started");
-            }
-            schedule =
-                    scheduler.scheduleWithFixedDelay(
-                            this::tickSafely, BATCH_MS, BATCH_MS, TimeUnit.MILLISECONDS);
-        }
+        periodic.start(scheduler);
     }
 
     @Override
     public void close() {
-        synchronized (lock) {
-            if (schedule != null) {
-                schedule.cancel(false);
-            }
-        }
-    }
-
-    /** An exception would end the schedule, so it is logged instead. */
-    private void tickSafely() {
-        try {
-            tick();
-        } catch (RuntimeException e) {
-            LOG.error("SAP3010 Dissemination step failed", e);
-        }
+        periodic.close();
     }
 
     /** Publishes the endpoint table, sends batches, and starts exchanges that are due. */
