--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlCommand.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlCommand.java
@@ -18,6 +18,8 @@
 @JsonSubTypes({
     @JsonSubTypes.Type(value = ControlCommand.PutRecord.class, name = "putRecord"),
     @JsonSubTypes.Type(value = ControlCommand.DeleteRecord.class, name = "deleteRecord"),
+    @JsonSubTypes.Type(value = ControlCommand.PutNewest.class, name = "putNewest"),
+    @JsonSubTypes.Type(value = ControlCommand.ReadRecord.class, name = "readRecord"),
     @JsonSubTypes.Type(value = ControlCommand.ReadHistory.class, name = "readHistory"),
     @JsonSubTypes.Type(value = ControlCommand.JoinInstance.class, name = "join"),
     @JsonSubTypes.Type(value = ControlCommand.EvictInstances.class, name = "evict"),
@@ -71,6 +73,26 @@
             String changeId, String operator, RecordKey key, long expectedRevision, boolean dryRun)
             implements ControlCommand {}
 
+    /**
+     * Replaces a record whose writers number its content themselves, if the new number is higher. A
+     * number that is not higher changes nothing, so a repeated command needs no change id. No
+     * history is kept, because the content may be large.
+     *
+     * @param operator name of the operator
+     * @param key identity of the record
+     * @param number number that the writer gave the content, positive
+     * @param body content
+     */
+    record PutNewest(String operator, RecordKey key, long number, JsonNode body)
+            implements ControlCommand {}
+
+    /**
+     * Reads a record in log order, so that no accepted change before the command is missed.
+     *
+     * @param key identity of the record
+     */
+    record ReadRecord(RecordKey key) implements ControlCommand {}
+
     /**
      * Reads the last versions of a record in log order.
      *
--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlState.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlState.java
@@ -1,5 +1,7 @@
 package io.sapphirestack.core.control;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sapphirestack.core.control.ControlSnapshot.OutstandingOrder;
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.id.InstanceId;
@@ -33,6 +35,12 @@
     /** Membership events that a view holds. */
     public static final int MAX_EVENTS = 1_000;
 
+    /** Field of a record written by {@link ControlCommand.PutNewest} that holds its number. */
+    public static final String NUMBER_FIELD = "number";
+
+    /** Field of a record written by {@link ControlCommand.PutNewest} that holds its content. */
+    public static final String CONTENT_FIELD = "content";
+
     /** Changes for which differences can be computed; a longer gap gets the whole view. */
     private static final int MAX_CHANGES = 1_000;
 
@@ -69,6 +77,10 @@
             return put(put, stamped.wrongField());
         } else if (command instanceof ControlCommand.DeleteRecord delete) {
             return delete(delete);
+        } else if (command instanceof ControlCommand.PutNewest put) {
+            return putNewest(put);
+        } else if (command instanceof ControlCommand.ReadRecord read) {
+            return new ControlResult.RecordHistory(records.find(read.key()).stream().toList());
         } else if (command instanceof ControlCommand.ReadHistory read) {
             return new ControlResult.RecordHistory(records.newestFirst(read.key()));
         } else if (command instanceof ControlCommand.JoinInstance join) {
@@ -261,6 +273,29 @@
         return changeAnswers.keep(put.changeId(), result);
     }
 
+    private ControlResult putNewest(ControlCommand.PutNewest put) {
+        long current =
+                records.find(put.key())
+                        .map(record -> record.body().path(NUMBER_FIELD).asLong(0))
+                        .orElse(0L);
+        if (put.number() > current) {
+            ObjectNode body = JsonNodeFactory.instance.objectNode();
+            body.put(NUMBER_FIELD, put.number());
+            body.set(CONTENT_FIELD, put.body());
+            records.replace(
+                    new ConfigRecord(
+                            put.key(),
+                            1,
+                            1,
+                            index,
+                            "number-" + put.number(),
+                            put.operator(),
+                            body));
+            publish(Set.of(put.key()), Set.of(), List.of());
+        }
+        return new ControlResult.RecordAccepted(records.revisionOf(put.key()));
+    }
+
     private ControlResult checkPut(ControlCommand.PutRecord put, Optional<String> wrongField) {
         if (wrongField.isPresent()) {
             return new ControlResult.RecordRefused("invalid_record", wrongField.get());
--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/RecordTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/RecordTable.java
@@ -46,6 +46,11 @@
         addVersion(record);
     }
 
+    /** Stores a record without keeping its earlier versions. */
+    void replace(ConfigRecord record) {
+        records.put(record.key(), record);
+    }
+
     void delete(RecordKey key, long index, String changeId, String operator) {
         ConfigRecord removed = records.remove(key);
         addVersion(
--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointAnnouncement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointAnnouncement.java
@@ -20,6 +20,7 @@
  * @param cacheEvents changes of the prefix cache since the last announcement; may be late or
  *     incomplete
  * @param highestFencingToken highest fencing token that the endpoint has accepted, 0 for none
+ * @param phase stage in its life; absent for an endpoint that takes work
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record EndpointAnnouncement(
@@ -32,7 +33,8 @@
         List<ModelPin> models,
         EndpointLoad load,
         List<CacheEvent> cacheEvents,
-        long highestFencingToken) {
+        long highestFencingToken,
+        EndpointPhase phase) {
 
     /** Checks the components; absent lists become empty. */
     public EndpointAnnouncement {
@@ -43,5 +45,6 @@
         models = models == null ? List.of() : List.copyOf(models);
         load = load == null ? EndpointLoad.NONE : load;
         cacheEvents = cacheEvents == null ? List.of() : List.copyOf(cacheEvents);
+        phase = phase == null ? EndpointPhase.SERVING : phase;
     }
 }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointDetails.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointDetails.java
@@ -12,9 +12,15 @@
  * @param availabilityZone availability zone
  * @param models variants that are loaded
  * @param slots how many streams or calls can be executed at once, 0 if unknown
+ * @param phase stage in its life
  */
 public record EndpointDetails(
-        String service, String address, String availabilityZone, List<ModelPin> models, int slots) {
+        String service,
+        String address,
+        String availabilityZone,
+        List<ModelPin> models,
+        int slots,
+        EndpointPhase phase) {
 
     /** Checks the components. */
     public EndpointDetails {
@@ -22,6 +28,38 @@
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(availabilityZone, "availabilityZone");
         models = List.copyOf(models);
+        Objects.requireNonNull(phase, "phase");
+    }
+
+    /**
+     * Returns the same details with the later of two stages.
+     *
+     * @param other stage from another report
+     * @return details with the later stage
+     */
+    public EndpointDetails withLaterPhase(EndpointPhase other) {
+        EndpointPhase later = phase.later(other);
+        return later == phase
+                ? this
+                : new EndpointDetails(service, address, availabilityZone, models, slots, later);
+    }
+
+    /**
+     * Creates the details of an endpoint that takes work.
+     *
+     * @param service service that the endpoint belongs to
+     * @param address {@code host:port} of its HTTP interface
+     * @param availabilityZone availability zone
+     * @param models variants that are loaded
+     * @param slots how many streams or calls can be executed at once, 0 if unknown
+     */
+    public EndpointDetails(
+            String service,
+            String address,
+            String availabilityZone,
+            List<ModelPin> models,
+            int slots) {
+        this(service, address, availabilityZone, models, slots, EndpointPhase.SERVING);
     }
 
     /**
@@ -36,6 +74,7 @@
                 announcement.address(),
                 announcement.availabilityZone(),
                 announcement.models(),
-                announcement.load().slots());
+                announcement.load().slots(),
+                announcement.phase());
     }
 }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportCodec.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportCodec.java
@@ -220,6 +220,7 @@
         writeString(out, details.address());
         writeString(out, details.availabilityZone());
         writeVarint(out, details.slots());
+        writeVarint(out, details.phase().ordinal());
         writeVarint(out, details.models().size());
         for (ModelPin pin : details.models()) {
             writeString(out, pin.model());
@@ -233,11 +234,12 @@
         String address = readString(in);
         String availabilityZone = readString(in);
         int slots = (int) readVarint(in);
+        EndpointPhase phase = EndpointPhase.ofOrdinal((int) readVarint(in));
         List<ModelPin> models = new ArrayList<>();
         for (long n = readVarint(in); n > 0; n--) {
             models.add(new ModelPin(readString(in), readString(in), readString(in)));
         }
-        return new EndpointDetails(service, address, availabilityZone, models, slots);
+        return new EndpointDetails(service, address, availabilityZone, models, slots, phase);
     }
 
     private static int encodeRate(double tokensPerS) {
--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportTable.java
@@ -81,10 +81,16 @@
         boolean newerLoad = report.sequence() > old.sequence();
         boolean newerDetails =
                 report.details().isPresent() && report.detailsSequence() > old.detailsSequence();
-        if (report.epochMs() < old.epochMs() || !(newerLoad || newerDetails)) {
+        EndpointPhase phase =
+                report.details().map(EndpointDetails::phase).orElse(old.details().phase());
+        boolean laterPhase = phase.compareTo(old.details().phase()) > 0;
+        if (report.epochMs() < old.epochMs() || !(newerLoad || newerDetails || laterPhase)) {
             return Merge.STALE;
         }
-        EndpointDetails details = newerDetails ? report.details().get() : old.details();
+        EndpointDetails details =
+                (newerDetails ? report.details().get() : old.details())
+                        .withLaterPhase(phase)
+                        .withLaterPhase(old.details().phase());
         put(
                 new KnownEndpoint(
                         old.id(),
@@ -191,11 +197,17 @@
         return stream.getAsLong();
     }
 
-    /** Returns the details sequence of each known life by its short name. */
+    /** The stage of a life can advance without a newer sequence, so it is part of the entry. */
+    private static long digestEntry(KnownEndpoint endpoint) {
+        return endpoint.detailsSequence() * EndpointPhase.values().length
+                + endpoint.details().phase().ordinal();
+    }
+
+    /** Returns the details sequence and stage of each known life by its short name. */
     public Map<Integer, Long> digestEntries() {
         Map<Integer, Long> entries = new TreeMap<>();
         for (KnownEndpoint endpoint : known.values()) {
-            entries.put(endpoint.handle(), endpoint.detailsSequence());
+            entries.put(endpoint.handle(), digestEntry(endpoint));
         }
         return entries;
     }
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/EndpointHealth.java
@@ -0,0 +1,123 @@
+package io.sapphirestack.core.relay;
+
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.time.MillisClock;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * What the outcomes of own requests tell about endpoints. An endpoint that could not be reached is
+ * suspected for a time that doubles with each further failure; one request at a time then tries it
+ * again. Thread-safe and lock-free.
+ */
+public final class EndpointHealth {
+
+    /** Time for which an endpoint is avoided after one connection failure, in milliseconds. */
+    static final long FIRST_SUSPICION_MS = 400;
+
+    /** Longest time for which an endpoint is avoided without a new failure, in milliseconds. */
+    static final long LONGEST_SUSPICION_MS = 6_400;
+
+    /** Time that one trial request of a suspected endpoint may take before the next one. */
+    static final long TRIAL_MS = 400;
+
+    /** Weight of the newest outcome in the moving average of errors. */
+    static final double ERROR_WEIGHT = 0.2;
+
+    private static final Health UNKNOWN = new Health(0, Long.MIN_VALUE, 0);
+
+    private final MillisClock clock;
+    private final Map<EndpointId, Health> byId = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a tracker.
+     *
+     * @param clock monotonic clock
+     */
+    public EndpointHealth(MillisClock clock) {
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    private record Health(int failures, long suspectUntilMs, double errorRate) {}
+
+    /**
+     * Records that an endpoint did not answer: refused or broken connection, or silence.
+     *
+     * @param id endpoint
+     */
+    public void unreachable(EndpointId id) {
+        long nowMs = clock.nowMs();
+        byId.compute(
+                id,
+                (key, old) -> {
+                    Health last = old == null ? UNKNOWN : old;
+                    int failures = Math.min(last.failures() + 1, 16);
+                    long suspicionMs =
+                            Math.min(LONGEST_SUSPICION_MS, FIRST_SUSPICION_MS << (failures - 1));
+                    return new Health(failures, nowMs + suspicionMs, last.errorRate());
+                });
+    }
+
+    /**
+     * Records an answer.
+     *
+     * @param id endpoint
+     * @param failed whether the answer says that the endpoint failed
+     */
+    public void answered(EndpointId id, boolean failed) {
+        byId.compute(
+                id,
+                (key, old) -> {
+                    double rate = old == null ? 0 : old.errorRate();
+                    double sample = failed ? 1 : 0;
+                    return new Health(0, Long.MIN_VALUE, rate + ERROR_WEIGHT * (sample - rate));
+                });
+    }
+
+    /**
+     * Returns whether an endpoint is avoided now.
+     *
+     * @param id endpoint
+     * @return whether it failed lately
+     */
+    public boolean isSuspect(EndpointId id) {
+        return byId.getOrDefault(id, UNKNOWN).suspectUntilMs() > clock.nowMs();
+    }
+
+    /**
+     * Returns the moving average of failed answers.
+     *
+     * @param id endpoint
+     * @return share of failed answers, 0 to 1
+     */
+    public double errorRate(EndpointId id) {
+        return byId.getOrDefault(id, UNKNOWN).errorRate();
+    }
+
+    /**
+     * Records that a request is sent. After a suspicion has ended, other requests avoid the
+     * endpoint until this one had time to succeed.
+     *
+     * @param id endpoint
+     */
+    public void chosen(EndpointId id) {
+        long nowMs = clock.nowMs();
+        byId.computeIfPresent(
+                id,
+                (key, last) ->
+                        last.failures() > 0 && last.suspectUntilMs() <= nowMs
+                                ? new Health(last.failures(), nowMs + TRIAL_MS, last.errorRate())
+                                : last);
+    }
+
+    /**
+     * Forgets endpoints that no longer exist.
+     *
+     * @param known names of the endpoints that exist
+     */
+    public void retain(Set<EndpointId> known) {
+        byId.keySet().retainAll(known);
+    }
+}
--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
@@ -0,0 +1,104 @@
+package io.sapphirestack.core.relay;
+
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.routing.EndpointState;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+
+/**
+ * Chooses the endpoint of a relayed request and the endpoint that keeps a standby copy of it.
+ *
+ * <p>The cost of an endpoint is its work in flight relative to its slots, raised by errors that it
+ * answered lately. Many instances decide at the same moment on the same reports, so each adds a
+ * random part of one piece of work to every cost and they do not all meet at one endpoint.
+ */
+public final class RelayPlacement {
+
+    /** Cost of crossing availability zones, in pieces of work. */
+    static final double OTHER_ZONE_COST = 0.5;
+
+    /** Cost of an endpoint whose answers all fail, in shares of all slots of an endpoint. */
+    static final double ERROR_COST = 3.0;
+
+    private final String zone;
+    private final ToIntFunction<EndpointState> work;
+    private final EndpointHealth health;
+    private final DoubleSupplier random;
+
+    /**
+     * Creates a strategy.
+     *
+     * @param zone availability zone of this instance
+     * @param work returns the work of the whole fleet in flight at an endpoint
+     * @param health outcomes of own requests
+     * @param random returns numbers from 0 (inclusive) to 1 (exclusive)
+     */
+    public RelayPlacement(
+            String zone,
+            ToIntFunction<EndpointState> work,
+            EndpointHealth health,
+            DoubleSupplier random) {
+        this.zone = Objects.requireNonNull(zone, "zone");
+        this.work = Objects.requireNonNull(work, "work");
+        this.health = Objects.requireNonNull(health, "health");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /**
+     * Chooses where a request runs.
+     *
+     * @param candidates endpoints of its service that take new work
+     * @param tried endpoints that this request was sent to already; used only if there is no other
+     * @return the endpoint, or empty if there is no candidate
+     */
+    public Optional<EndpointState> choose(
+            List<EndpointState> candidates, Collection<EndpointId> tried) {
+        return best(candidates, e -> !tried.contains(e.id()) && !health.isSuspect(e.id()))
+                .or(() -> best(candidates, e -> !tried.contains(e.id())))
+                .or(() -> best(candidates, e -> true));
+    }
+
+    /**
+     * Chooses where a standby copy of a stream is kept: in another availability zone, because the
+     * endpoints of one zone often fail together.
+     *
+     * @param candidates endpoints of the service that take new work
+     * @param running endpoint where the stream runs
+     * @param tried endpoints where this stream has failed
+     * @return the endpoint, or empty if no other zone has one that can be reached
+     */
+    public Optional<EndpointState> chooseStandby(
+            List<EndpointState> candidates, EndpointState running, Collection<EndpointId> tried) {
+        return best(
+                candidates,
+                e ->
+                        !e.id().equals(running.id())
+                                && !e.availabilityZone().equals(running.availabilityZone())
+                                && !tried.contains(e.id())
+                                && !health.isSuspect(e.id()));
+    }
+
+    private Optional<EndpointState> best(
+            List<EndpointState> candidates, Predicate<EndpointState> allowed) {
+        return candidates.stream()
+                .filter(allowed)
+                .map(endpoint -> new Costed(endpoint, cost(endpoint)))
+                .min(Comparator.comparingDouble(Costed::cost))
+                .map(Costed::endpoint);
+    }
+
+    private record Costed(EndpointState endpoint, double cost) {}
+
+    private double cost(EndpointState endpoint) {
+        double slots = Math.max(1, endpoint.load().slots());
+        double zoneCost = endpoint.availabilityZone().equals(zone) ? 0 : OTHER_ZONE_COST;
+        return (work.applyAsInt(endpoint) + zoneCost + random.getAsDouble()) / slots
+                + ERROR_COST * health.errorRate(endpoint.id());
+    }
+}
--- a/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointTable.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.core.routing;
 
 import io.sapphirestack.core.id.EndpointId;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,8 +23,18 @@
      */
     public EndpointTable(Map<EndpointId, EndpointState> byId) {
         this.byId = Map.copyOf(byId);
+        Map<String, Long> latestByAddress = new HashMap<>();
+        this.byId
+                .values()
+                .forEach(
+                        endpoint ->
+                                latestByAddress.merge(
+                                        endpoint.address(), endpoint.epochMs(), Math::max));
         this.byService =
                 this.byId.values().stream()
+                        .filter(EndpointState::isServing)
+                        // A process that announces itself at an address has replaced earlier ones.
+                        .filter(e -> e.epochMs() >= latestByAddress.get(e.address()))
                         .sorted((a, b) -> a.id().compareTo(b.id()))
                         .collect(
                                 Collectors.groupingBy(
@@ -46,7 +57,8 @@
     }
 
     /**
-     * Returns the endpoints of a service.
+     * Returns the endpoints of a service that take new work. An endpoint whose address was taken
+     * over by a later process is left out.
      *
      * @param service name of the service
      * @return endpoints, sorted by name
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
@@ -18,7 +18,7 @@
     }
 
     /** Sends all events to the standard error stream. */
-    static void install() {
+    public static void install() {
         System.setProperty("org.jboss.logging.provider", "jdk");
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -46,12 +46,12 @@
 import io.sapphirestack.runtime.storage.DiskLogStore;
 import io.sapphirestack.runtime.transport.PeerTransport;
 import io.sapphirestack.runtime.transport.TcpPeerTransport;
-import java.io.Closeable;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -62,7 +62,7 @@
  * started so that an instance answers only what it can serve: control, membership, dissemination,
  * generations, then HTTP.
  */
-public final class InstanceAssembly implements Closeable {
+public final class InstanceAssembly implements ManagedInstance {
 
     private static final EventLog LOG = EventLog.of(InstanceAssembly.class);
     private static final int SCHEDULER_THREADS = 2;
@@ -345,11 +345,7 @@
         return Math.max(1, blackboard.control().read().instances().size());
     }
 
-    /**
-     * Starts all parts.
-     *
-     * @throws DaemonException if this voter's storage cannot be used
-     */
+    @Override
     public void start() throws DaemonException {
         try {
             listener.start();
@@ -389,7 +385,16 @@
         return lifecycle;
     }
 
-    /** Stops all parts at once, without a planned stop. */
+    @Override
+    public void planStop() {
+        lifecycle.planStop();
+    }
+
+    @Override
+    public CompletableFuture<Void> left() {
+        return lifecycle.left();
+    }
+
     @Override
     public void close() {
         lifecycle.close();
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceLifecycle.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceLifecycle.java
@@ -1,16 +1,9 @@
 package io.sapphirestack.daemon;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sapphirestack.core.blackboard.Readiness;
-import io.sapphirestack.core.control.ControlCommand;
-import io.sapphirestack.core.control.ControlView;
 import io.sapphirestack.core.id.InstanceRef;
-import io.sapphirestack.core.record.ConfigRecord;
-import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.record.StopSpec;
-import io.sapphirestack.core.record.StopTarget;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.blackboard.Blackboard;
 import io.sapphirestack.runtime.control.ControlClient;
@@ -22,7 +15,6 @@
 import java.io.Closeable;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -40,11 +32,10 @@
     private static final EventLog LOG = EventLog.of(InstanceLifecycle.class);
     private static final long TICK_MS = 100;
     private static final long CONTROL_TIMEOUT_MS = 3_000;
-    private static final String STOP_KIND = "stop";
 
     private final Blackboard blackboard;
     private final RecordSpecResolver specs;
-    private final ControlClient control;
+    private final OwnStop ownStop;
     private final ControlWatcher watcher;
     private final Optional<ControlService> voter;
     private final GenerationService generations;
@@ -83,7 +74,7 @@
             MillisClock clock) {
         this.blackboard = Objects.requireNonNull(blackboard, "blackboard");
         this.specs = Objects.requireNonNull(specs, "specs");
-        this.control = Objects.requireNonNull(control, "control");
+        this.ownStop = new OwnStop(control, blackboard.control()::read, CONTROL_TIMEOUT_MS);
         this.watcher = Objects.requireNonNull(watcher, "watcher");
         this.voter = Objects.requireNonNull(voter, "voter");
         this.generations = Objects.requireNonNull(generations, "generations");
@@ -151,7 +142,7 @@
                 beginLeaving();
             } else {
                 become(Readiness.READY);
-                withdrawOldStop(self.get());
+                ownStop.withdrawOld(self.get());
             }
         }
     }
@@ -201,7 +192,7 @@
         Optional<InstanceRef> self = blackboard.self().read();
         watcher.leave(CONTROL_TIMEOUT_MS)
                 .handle((ok, failure) -> failure)
-                .thenCompose(failure -> deleteOwnStop(self))
+                .thenCompose(failure -> ownStop.delete(self))
                 .whenComplete((ok, failure) -> finish());
     }
 
@@ -210,82 +201,12 @@
     }
 
     private Optional<StopSpec> plannedStop(InstanceRef self) {
-        return stopRecord(blackboard.control().read(), self)
-                .filter(record -> appliesTo(record, self))
-                .flatMap(specs::stop);
+        return OwnStop.find(blackboard.control().read(), self).flatMap(specs::stop);
     }
 
-    private static Optional<ConfigRecord> stopRecord(ControlView view, InstanceRef self) {
-        return view.record(stopKey(self));
-    }
-
-    private static RecordKey stopKey(InstanceRef self) {
-        return new RecordKey(STOP_KIND, StopTarget.INSTANCE.namePrefix() + self.id());
-    }
-
-    private static boolean appliesTo(ConfigRecord record, InstanceRef self) {
-        long incarnation = incarnationOf(record);
-        return incarnation == 0 || incarnation == self.incarnation();
-    }
-
-    private static long incarnationOf(ConfigRecord record) {
-        return record.body().path("incarnation").asLong(0);
-    }
-
-    // Other instances leave this one out of their address lists because of the record. It names the
-    // incarnation, so that it does not stop the next start if it is left behind.
     private void submitStop(InstanceRef self) {
         stopSubmitted = true;
-        long expected =
-                stopRecord(blackboard.control().read(), self)
-                        .map(ConfigRecord::revision)
-                        .orElse(0L);
-        ObjectNode body =
-                JsonNodeFactory.instance.objectNode().put("incarnation", self.incarnation());
-        control.submit(
-                        new ControlCommand.PutRecord(
-                                UUID.randomUUID().toString(),
-                                "instance:" + self.id(),
-                                stopKey(self),
-                                expected,
-                                1,
-                                1,
-                                body,
-                                false),
-                        CONTROL_TIMEOUT_MS)
-                .whenComplete(
-                        (result, failure) ->
-                                LOG.info(
-                                        "SAP1307",
-                                        "Own stop was submitted",
-                                        "result",
-                                        failure == null ? result : failure));
-    }
-
-    private CompletableFuture<Void> deleteOwnStop(Optional<InstanceRef> self) {
-        Optional<ConfigRecord> own =
-                self.flatMap(ref -> stopRecord(blackboard.control().read(), ref))
-                        .filter(record -> incarnationOf(record) != 0);
-        return own.map(this::delete).orElse(CompletableFuture.completedFuture(null));
-    }
-
-    private void withdrawOldStop(InstanceRef self) {
-        stopRecord(blackboard.control().read(), self)
-                .filter(record -> incarnationOf(record) != 0)
-                .filter(record -> incarnationOf(record) < self.incarnation())
-                .ifPresent(this::delete);
-    }
-
-    private CompletableFuture<Void> delete(ConfigRecord record) {
-        return control.submit(
-                        new ControlCommand.DeleteRecord(
-                                UUID.randomUUID().toString(),
-                                record.operator(),
-                                record.key(),
-                                record.revision(),
-                                false),
-                        CONTROL_TIMEOUT_MS)
-                .handle((result, failure) -> null);
+        ownStop.submit(self);
     }
 
     private void become(Readiness next) {
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/PeerListener.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/PeerListener.java
@@ -40,15 +40,18 @@
         return server.address();
     }
 
-    PeerEventLoop loop() {
+    /** Returns the loop that serves the connections. */
+    public PeerEventLoop loop() {
         return loop;
     }
 
-    PeerHandlers handlers() {
+    /** Returns the registry of request handlers. */
+    public PeerHandlers handlers() {
         return handlers;
     }
 
-    void start() {
+    /** Starts to accept connections of other instances. */
+    public void start() {
         server.start();
     }
 
--- /dev/null
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -0,0 +1,337 @@
+package io.sapphirestack.daemon.relay;
+
+import io.sapphirestack.core.blackboard.Readiness;
+import io.sapphirestack.core.control.ControlView;
+import io.sapphirestack.core.control.InstanceInfo;
+import io.sapphirestack.core.control.InstanceStatus;
+import io.sapphirestack.core.id.InstanceId;
+import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.limit.UsageTable;
+import io.sapphirestack.core.record.RecordSpecResolver;
+import io.sapphirestack.core.relay.CallerLimits;
+import io.sapphirestack.core.relay.EndpointHealth;
+import io.sapphirestack.core.relay.RelayPlacement;
+import io.sapphirestack.core.relay.RepeatBudget;
+import io.sapphirestack.core.relay.TrafficPlan;
+import io.sapphirestack.core.replication.LogStoreException;
+import io.sapphirestack.core.replication.ReplicationSettings;
+import io.sapphirestack.core.routing.EndpointState;
+import io.sapphirestack.core.routing.InFlightTracker;
+import io.sapphirestack.core.routing.PrefixIndex;
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.daemon.DaemonException;
+import io.sapphirestack.daemon.ManagedInstance;
+import io.sapphirestack.daemon.OwnStop;
+import io.sapphirestack.daemon.PeerListener;
+import io.sapphirestack.runtime.blackboard.Blackboard;
+import io.sapphirestack.runtime.control.ControlService;
+import io.sapphirestack.runtime.control.ControlWatcher;
+import io.sapphirestack.runtime.control.DefaultControlClient;
+import io.sapphirestack.runtime.endpoint.EndpointRegistry;
+import io.sapphirestack.runtime.endpoint.SpreadParts;
+import io.sapphirestack.runtime.endpoint.SpreadService;
+import io.sapphirestack.runtime.endpoint.SpreadSources;
+import io.sapphirestack.runtime.error.ServiceException;
+import io.sapphirestack.runtime.metrics.EventLog;
+import io.sapphirestack.runtime.relay.RelayContext;
+import io.sapphirestack.runtime.relay.RelayHeaders;
+import io.sapphirestack.runtime.relay.RelayListener;
+import io.sapphirestack.runtime.relay.TrafficRelay;
+import io.sapphirestack.runtime.storage.DiskLogStore;
+import io.sapphirestack.runtime.transport.PeerTransport;
+import io.sapphirestack.runtime.transport.TcpPeerTransport;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Composes an instance that relays requests. An adapter supplies the names of header fields and the
+ * form of traffic plans, and passes on what endpoints, operators and callers ask.
+ */
+public final class RelayAssembly implements ManagedInstance {
+
+    private static final EventLog LOG = EventLog.of(RelayAssembly.class);
+    private static final int SCHEDULER_THREADS = 2;
+    private static final int SPREAD_FAN_OUT = 3;
+    private static final long STOP_TIMEOUT_MS = 2_000;
+    private static final long CLOSE_WAIT_MS = 1_000;
+
+    private final RelaySettings settings;
+    private final PeerListener listener;
+    private final MillisClock clock = MillisClock.monotonic();
+    private final Blackboard blackboard = Blackboard.create();
+    private final SpreadParts spreadParts = SpreadParts.create();
+    private final SecureRandom random = new SecureRandom();
+    private final ScheduledThreadPoolExecutor scheduler;
+    private final PeerTransport transport;
+    private final DefaultControlClient control;
+    private final Optional<ControlService> voter;
+    private final InFlightTracker inFlight;
+    private final EndpointRegistry registry;
+    private final SpreadService spread;
+    private final TrafficPlans plans;
+    private final TrafficRelay relay;
+    private final RelayListener callers;
+    private final ControlWatcher watcher;
+    private final RelayLifecycle lifecycle;
+
+    /**
+     * Composes an instance; nothing runs before {@link #start()}.
+     *
+     * @param settings checked settings
+     * @param listener bound peer address, owned by this object from now on
+     * @param headers names of header fields
+     * @param decoder reads the text of traffic plans
+     * @throws ServiceException if the address for callers cannot be bound
+     */
+    public RelayAssembly(
+            RelaySettings settings,
+            PeerListener listener,
+            RelayHeaders headers,
+            TrafficPlans.Decoder decoder)
+            throws ServiceException {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.listener = Objects.requireNonNull(listener, "listener");
+        this.scheduler = newScheduler();
+        this.transport =
+                new TcpPeerTransport(
+                        listener.loop(),
+                        listener.address(),
+                        settings.clusterKey(),
+                        listener.handlers());
+        this.control = new DefaultControlClient(settings.voters(), transport, scheduler, clock);
+        this.voter = settings.dataFolder().map(this::voter);
+        this.inFlight = new InFlightTracker(clock);
+        this.registry =
+                new EndpointRegistry(
+                        blackboard.endpoints(), name -> Optional.empty(), new PrefixIndex(), clock);
+        this.spread = spread();
+        this.plans = new TrafficPlans(control, blackboard.control()::read, decoder);
+        this.relay = new TrafficRelay(context(headers));
+        this.callers =
+                new RelayListener(
+                        "caller",
+                        settings.callerListen(),
+                        settings.maxConnections(),
+                        relay,
+                        this::callerLimits,
+                        clock);
+        this.watcher = watcher();
+        this.lifecycle =
+                new RelayLifecycle(
+                        blackboard,
+                        () -> plans.current().isPresent(),
+                        new OwnStop(control, blackboard.control()::read, STOP_TIMEOUT_MS),
+                        watcher,
+                        voter,
+                        callers,
+                        relay,
+                        settings.graceMs(),
+                        clock);
+    }
+
+    private static ScheduledThreadPoolExecutor newScheduler() {
+        ScheduledThreadPoolExecutor scheduler =
+                new ScheduledThreadPoolExecutor(
+                        SCHEDULER_THREADS,
+                        task -> {
+                            Thread thread = new Thread(task, "scheduler");
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        scheduler.setRemoveOnCancelPolicy(true);
+        return scheduler;
+    }
+
+    private ControlService voter(Path dataFolder) {
+        return new ControlService(
+                ReplicationSettings.withDefaults(listener.address(), settings.voters()),
+                new DiskLogStore(dataFolder.resolve("control")),
+                transport,
+                listener.handlers(),
+                clock,
+                MillisClock.wall(),
+                random,
+                new RecordSpecResolver());
+    }
+
+    private SpreadService spread() {
+        SpreadService service =
+                new SpreadService(
+                        transport,
+                        blackboard.control(),
+                        blackboard.self(),
+                        registry,
+                        spreadParts,
+                        new SpreadSources(
+                                () -> UsageTable.EMPTY, account -> false, inFlight::snapshot),
+                        SPREAD_FAN_OUT,
+                        clock);
+        service.register(listener.handlers());
+        return service;
+    }
+
+    private RelayContext context(RelayHeaders headers) {
+        EndpointHealth health = new EndpointHealth(clock);
+        return new RelayContext(
+                headers,
+                plans::current,
+                blackboard.endpoints()::read,
+                new RelayPlacement(
+                        settings.instance().availabilityZone(),
+                        this::workAt,
+                        health,
+                        () -> ThreadLocalRandom.current().nextDouble()),
+                health,
+                inFlight,
+                new RepeatBudget(settings.repeats(), this::liveInstances, clock),
+                clock);
+    }
+
+    private int workAt(EndpointState endpoint) {
+        return inFlight.inFlight(endpoint.id())
+                + spreadParts.inFlight().read().of(endpoint.id(), endpoint.epochMs());
+    }
+
+    private int liveInstances() {
+        return Math.max(1, blackboard.control().read().instances().size());
+    }
+
+    private CallerLimits callerLimits() {
+        return plans.current().map(TrafficPlan::limits).orElse(CallerLimits.DEFAULT);
+    }
+
+    private ControlWatcher watcher() {
+        // The state machine raises the incarnation above every earlier one.
+        InstanceInfo info =
+                new InstanceInfo(
+                        new InstanceRef(InstanceId.of(settings.instance().id()), 1),
+                        settings.instance().availabilityZone(),
+                        settings.instance().region(),
+                        listener.address(),
+                        settings.callerListen(),
+                        RecordSpecResolver.CURRENT_READER_VERSION);
+        return new ControlWatcher(
+                info,
+                settings.voters(),
+                transport,
+                control,
+                blackboard,
+                () -> status(info.ref()),
+                clock,
+                random);
+    }
+
+    private InstanceStatus status(InstanceRef ref) {
+        return new InstanceStatus(
+                ref,
+                blackboard.control().read().revision(),
+                blackboard.readiness().read(),
+                relay.openRequests(),
+                Map.of(),
+                List.of());
+    }
+
+    @Override
+    public void start() throws DaemonException {
+        try {
+            listener.start();
+            if (voter.isPresent()) {
+                voter.get().start();
+            }
+        } catch (LogStoreException e) {
+            throw new DaemonException(
+                    "start-voter", String.valueOf(settings.dataFolder().get()), "" + e, e);
+        }
+        watcher.start();
+        spread.start(scheduler);
+        callers.start(scheduler);
+        lifecycle.start(scheduler);
+        LOG.info(
+                "SAP1302",
+                "Instance is starting",
+                "instance",
+                settings.instance().id(),
+                "availabilityZone",
+                settings.instance().availabilityZone(),
+                "peer",
+                listener.address(),
+                "voter",
+                voter.isPresent());
+    }
+
+    /** Returns the plans of the operator. */
+    public TrafficPlans plans() {
+        return plans;
+    }
+
+    /** Returns the receiver of what endpoints tell about themselves. */
+    public EndpointRegistry endpoints() {
+        return registry;
+    }
+
+    /** Returns whether callers should use this instance. */
+    public boolean isReady() {
+        return blackboard.readiness().read() == Readiness.READY;
+    }
+
+    /** Returns the clock of this instance. */
+    public MillisClock clock() {
+        return clock;
+    }
+
+    /** Returns the scheduler of this instance. */
+    public ScheduledExecutorService scheduler() {
+        return scheduler;
+    }
+
+    /**
+     * Returns the instances that callers should use: those of their availability zone if there are
+     * at least two, else all.
+     *
+     * @param availabilityZone availability zone of the caller
+     * @return addresses for callers, possibly none
+     */
+    public List<String> addresses(String availabilityZone) {
+        ControlView view = blackboard.control().read();
+        return CallerAddresses.choose(
+                view.instances().values().stream()
+                        .filter(info -> OwnStop.find(view, info.ref()).isEmpty())
+                        .toList(),
+                availabilityZone);
+    }
+
+    @Override
+    public void planStop() {
+        lifecycle.planStop();
+    }
+
+    @Override
+    public CompletableFuture<Void> left() {
+        return lifecycle.left();
+    }
+
+    @Override
+    public void close() {
+        callers.close();
+        relay.close();
+        spread.close();
+        watcher.stop();
+        voter.ifPresent(
+                service ->
+                        service.stop()
+                                .orTimeout(CLOSE_WAIT_MS, TimeUnit.MILLISECONDS)
+                                .exceptionally(failure -> null)
+                                .join());
+        listener.close();
+        scheduler.shutdownNow();
+    }
+}
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
@@ -6,6 +6,7 @@
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.membership.EndpointAnnouncement;
 import io.sapphirestack.core.membership.EndpointDetails;
+import io.sapphirestack.core.membership.EndpointPhase;
 import io.sapphirestack.core.membership.EndpointReport;
 import io.sapphirestack.core.membership.KnownEndpoint;
 import io.sapphirestack.core.membership.ReportCodec;
@@ -24,6 +25,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -95,6 +97,16 @@
                     announcement.id(), announcement.service());
             throw refused(401, "unauthorized", "The key of the service is wrong.");
         }
+        accept(announcement);
+    }
+
+    /**
+     * Merges an announcement whose sender needs no key.
+     *
+     * @param announcement what an endpoint told
+     * @throws RefusedException if the name belongs to a live endpoint of another service
+     */
+    public void accept(EndpointAnnouncement announcement) throws RefusedException {
         EndpointDetails details = EndpointDetails.of(announcement);
         Consumer<EndpointReport> target;
         EndpointReport report;
@@ -104,7 +116,13 @@
             boolean sameDetails =
                     known.isPresent()
                             && known.get().epochMs() == announcement.epochMs()
-                            && known.get().details().equals(details);
+                            && known.get()
+                                    .details()
+                                    .withLaterPhase(details.phase())
+                                    .equals(known.get().details())
+                            && known.get()
+                                    .details()
+                                    .equals(details.withLaterPhase(known.get().details().phase()));
             report = toReport(announcement, sameDetails ? known.get() : null, details);
             if (!merge(report)) {
                 return;
@@ -117,6 +135,47 @@
         }
     }
 
+    /**
+     * Records that an endpoint has ended or is about to end.
+     *
+     * @param id name of the endpoint
+     * @param epochMs start time of the process that ends, or empty if the endpoint did not tell
+     * @return whether the endpoint is known here
+     */
+    public boolean leave(EndpointId id, OptionalLong epochMs) {
+        EndpointReport report;
+        Consumer<EndpointReport> target;
+        synchronized (lock) {
+            Optional<KnownEndpoint> known =
+                    table.find(id)
+                            .filter(e -> epochMs.isEmpty() || epochMs.getAsLong() == e.epochMs());
+            if (known.isEmpty()) {
+                return false;
+            }
+            report = leaving(known.get());
+            if (!merge(report)) {
+                return true;
+            }
+            target = spreader;
+        }
+        target.accept(report);
+        publishIfChanged();
+        return true;
+    }
+
+    private EndpointReport leaving(KnownEndpoint endpoint) {
+        EndpointReport last = endpoint.toReport(clock.nowMs());
+        return new EndpointReport(
+                last.id(),
+                last.epochMs(),
+                last.sequence(),
+                last.detailsSequence(),
+                last.ageMs(),
+                last.load(),
+                last.details().map(details -> details.withLaterPhase(EndpointPhase.GONE)),
+                List.of());
+    }
+
     /** Refuses to let one service take over the name of a live endpoint of another. */
     private void checkOwner(Optional<KnownEndpoint> known, EndpointAnnouncement announcement)
             throws RefusedException {
@@ -320,6 +379,7 @@
                                 endpoint.epochMs(),
                                 Set.copyOf(details.models()),
                                 endpoint.load(),
+                                details.phase(),
                                 endpoint.heardAtMs()));
             }
             // Published under the lock, so that an older table never replaces a newer one.
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/PendingReports.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/PendingReports.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.endpoint;
 
 import io.sapphirestack.core.membership.CacheEvent;
+import io.sapphirestack.core.membership.EndpointDetails;
 import io.sapphirestack.core.membership.EndpointReport;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,7 +36,7 @@
                 details == null ? newer.detailsSequence() : details.detailsSequence(),
                 newer.ageMs(),
                 newer.load(),
-                details == null ? Optional.empty() : details.details(),
+                details == null ? Optional.empty() : withLaterPhase(details, newer, older),
                 events);
     }
 
@@ -47,4 +48,16 @@
                 ? older
                 : newer;
     }
+
+    /** The stage only advances, whichever report tells it. */
+    private static Optional<EndpointDetails> withLaterPhase(
+            EndpointReport details, EndpointReport newer, EndpointReport older) {
+        EndpointDetails result = details.details().orElseThrow();
+        for (EndpointReport report : List.of(newer, older)) {
+            if (report.details().isPresent()) {
+                result = result.withLaterPhase(report.details().get().phase());
+            }
+        }
+        return Optional.of(result);
+    }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
@@ -5,10 +5,6 @@
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -34,14 +30,13 @@
     static final String CONNECTION = "sapphire.connection";
 
     private static final EventLog LOG = EventLog.of(HttpFrontend.class);
-    private static final int BACKLOG = 256;
 
     // A caller that reads nothing for this long is cut off; it can continue by the generation's id.
     private static final long STUCK_WRITE_LIMIT_MS = 30_000;
     private static final long SWEEP_MS = 1_000;
 
     private final HttpSettings settings;
-    private final ServerSocket server;
+    private final TrackedServerSocket server;
     private final HttpService service;
     private final Http1Config config;
     private final ThreadPoolExecutor connectionThreads;
@@ -61,7 +56,7 @@
      */
     public HttpFrontend(HttpSettings settings, FrontendServices services) throws ServiceException {
         this.settings = Objects.requireNonNull(settings, "settings");
-        this.server = bind(settings.listenAddress());
+        this.server = TrackedServerSocket.bind(settings.listenAddress());
         this.connectionThreads = WorkerPool.create("http", settings.maxConnections());
         this.fetchThreads = WorkerPool.create("http-fetch", settings.maxStreams());
         this.sweeper =
@@ -99,22 +94,6 @@
                         () -> settings.maxStreams() - streams.availablePermits());
     }
 
-    private static ServerSocket bind(String address) throws ServiceException {
-        try {
-            int colon = address.lastIndexOf(':');
-            ServerSocket socket = new TrackedServerSocket();
-            socket.setReuseAddress(true);
-            socket.bind(
-                    new InetSocketAddress(
-                            InetAddress.getByName(address.substring(0, colon)),
-                            Integer.parseInt(address.substring(colon + 1))),
-                    BACKLOG);
-            return socket;
-        } catch (IOException | RuntimeException e) {
-            throw new ServiceException("bind", address, "cannot listen: " + e.getMessage(), e);
-        }
-    }
-
     private RouteTable routes(HttpSettings settings, FrontendServices services, Semaphore streams) {
         Authenticator authenticator =
                 new Authenticator(
@@ -168,7 +147,7 @@
     private void accept() {
         while (!closed) {
             try {
-                TrackedSocket socket = (TrackedSocket) server.accept();
+                TrackedSocket socket = server.accept();
                 if (connections.size() >= settings.maxConnections()) {
                     socket.close();
                     LOG.warn("SAP1202", "Too many connections", "open", connections.size());
@@ -209,19 +188,4 @@
         fetchThreads.shutdownNow();
         sweeper.shutdownNow();
     }
-
-    /** Accepts sockets of which writes can be watched. */
-    private static final class TrackedServerSocket extends ServerSocket {
-
-        TrackedServerSocket() throws IOException {
-            super();
-        }
-
-        @Override
-        public Socket accept() throws IOException {
-            TrackedSocket socket = new TrackedSocket();
-            implAccept(socket);
-            return socket;
-        }
-    }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/TrackedSocket.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/TrackedSocket.java
@@ -9,13 +9,13 @@
  * Socket that tells how long its current write has lasted. Blocking writes have no timeout of their
  * own, so a caller that never reads would hold its thread for ever. Thread-safe as a socket is.
  */
-final class TrackedSocket extends Socket {
+public final class TrackedSocket extends Socket {
 
     private volatile long writeStartedNanos;
     private volatile boolean writing;
 
     /** Returns the time that the current write has lasted, in milliseconds; 0 if there is none. */
-    long writeLastsMs() {
+    public long writeLastsMs() {
         long startedNanos = writeStartedNanos;
         return writing ? (System.nanoTime() - startedNanos) / 1_000_000 : 0;
     }
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestChecks.java
@@ -0,0 +1,71 @@
+package io.sapphirestack.runtime.relay;
+
+import io.sapphirestack.core.relay.CallerLimits;
+import java.util.Optional;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpRequest;
+
+/**
+ * Checks what the HTTP library accepts but two readers could understand differently. A request that
+ * fails is refused and its connection closed, so that none of its bytes count as another request.
+ */
+final class RequestChecks {
+
+    private RequestChecks() {}
+
+    /**
+     * A request that is refused.
+     *
+     * @param status status code
+     * @param reason what is wrong
+     */
+    record Rejection(int status, String reason) {}
+
+    static Optional<Rejection> check(HttpRequest request, CallerLimits limits) {
+        int lengths = request.countHeaders(HttpHeaders.CONTENT_LENGTH);
+        int encodings = request.countHeaders(HttpHeaders.TRANSFER_ENCODING);
+        if (lengths > 1 || encodings > 1 || lengths > 0 && encodings > 0) {
+            return Optional.of(new Rejection(400, "the length of the body is ambiguous"));
+        }
+        Header encoding = request.getFirstHeader(HttpHeaders.TRANSFER_ENCODING);
+        if (encoding != null && !encoding.getValue().trim().equalsIgnoreCase("chunked")) {
+            return Optional.of(new Rejection(501, "only chunked bodies are understood"));
+        }
+        Header length = request.getFirstHeader(HttpHeaders.CONTENT_LENGTH);
+        if (length != null && !length.getValue().matches("[0-9]{1,18}")) {
+            return Optional.of(new Rejection(400, "the length of the body is no number"));
+        }
+        if (length != null && Long.parseLong(length.getValue()) > limits.bodyBytes()) {
+            return Optional.of(new Rejection(413, "the body is too large"));
+        }
+        if (request.countHeaders(HttpHeaders.HOST) != 1) {
+            return Optional.of(new Rejection(400, "exactly one host must be named"));
+        }
+        return checkHeaderSize(request, limits);
+    }
+
+    private static Optional<Rejection> checkHeaderSize(HttpRequest request, CallerLimits limits) {
+        int bytes = request.getRequestUri().length();
+        for (Header header : request.getHeaders()) {
+            String value = header.getValue();
+            if (!isToken(header.getName()) || value != null && hasControl(value)) {
+                return Optional.of(new Rejection(400, "a header field has a wrong character"));
+            }
+            bytes += header.getName().length() + (value == null ? 0 : value.length()) + 4;
+        }
+        return bytes > limits.headerBytes()
+                ? Optional.of(new Rejection(431, "the header is too large"))
+                : Optional.empty();
+    }
+
+    private static boolean isToken(String name) {
+        return !name.isEmpty()
+                && name.chars()
+                        .allMatch(c -> c > ' ' && c < 127 && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
+    }
+
+    private static boolean hasControl(String value) {
+        return value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127);
+    }
+}
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/CapacitySlopes.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/CapacitySlopes.java
@@ -14,6 +14,7 @@
 import io.sapphirestack.core.membership.CacheEvent;
 import io.sapphirestack.core.membership.EndpointAnnouncement;
 import io.sapphirestack.core.membership.EndpointLoad;
+import io.sapphirestack.core.membership.EndpointPhase;
 import io.sapphirestack.core.membership.InFlightTable;
 import io.sapphirestack.core.record.ModelPin;
 import io.sapphirestack.core.record.ObjectivesSpec;
@@ -262,7 +263,8 @@
                                 List.of(PIN),
                                 new EndpointLoad(random.nextInt(9), 0, 8, 300),
                                 events,
-                                17),
+                                17,
+                                EndpointPhase.SERVING),
                         KEY);
     }
 
@@ -291,7 +293,8 @@
                             List.of(PIN),
                             new EndpointLoad(random.nextInt(9), 0, 8, 300),
                             List.of(),
-                            0),
+                            0,
+                            EndpointPhase.SERVING),
                     KEY);
             for (int i = 0; i < 8; i++) {
                 index.recordPlacement(id, 1, prompts[random.nextInt(prompts.length)]);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/SpreadServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/SpreadServiceTests.java
@@ -15,6 +15,7 @@
 import io.sapphirestack.core.membership.CacheEvent;
 import io.sapphirestack.core.membership.EndpointAnnouncement;
 import io.sapphirestack.core.membership.EndpointLoad;
+import io.sapphirestack.core.membership.EndpointPhase;
 import io.sapphirestack.core.membership.ReportTable;
 import io.sapphirestack.core.record.ModelPin;
 import io.sapphirestack.core.record.ObjectivesSpec;
@@ -201,7 +202,8 @@
                 List.of(new ModelPin("m", "", version)),
                 new EndpointLoad((int) sequence, 0, 8, 0),
                 events,
-                0);
+                0,
+                EndpointPhase.SERVING);
     }
 
     private void announce(Member at, String id, long epochMs, long sequence, String version) {
@@ -393,7 +395,17 @@
                 .hasMessageContaining("unauthorized");
         EndpointAnnouncement other =
                 new EndpointAnnouncement(
-                        good.id(), "other", "a:1", "az", 1, 1, null, null, null, 0);
+                        good.id(),
+                        "other",
+                        "a:1",
+                        "az",
+                        1,
+                        1,
+                        null,
+                        null,
+                        null,
+                        0,
+                        EndpointPhase.SERVING);
         assertThatThrownBy(() -> registry.receive(other, KEY))
                 .isInstanceOf(RefusedException.class)
                 .hasMessageContaining("not_found");
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/engine/EngineServer.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/engine/EngineServer.java
@@ -2,6 +2,7 @@
 
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.membership.EndpointAnnouncement;
+import io.sapphirestack.core.membership.EndpointPhase;
 import io.sapphirestack.core.record.ModelPin;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.standins.support.StandInServer;
@@ -108,7 +109,8 @@
                 models.loaded(),
                 scheduler.reportedLoad(),
                 cache.takeEvents(clock.nowMs()),
-                models.highestFencingToken());
+                models.highestFencingToken(),
+                EndpointPhase.SERVING);
     }
 
     @Override
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/service/ServiceServer.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/service/ServiceServer.java
@@ -3,6 +3,7 @@
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.membership.EndpointAnnouncement;
 import io.sapphirestack.core.membership.EndpointLoad;
+import io.sapphirestack.core.membership.EndpointPhase;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.standins.support.StandInServer;
 import java.io.Closeable;
@@ -77,7 +78,8 @@
                 List.of(),
                 new EndpointLoad(handler.active(), 0, SLOTS, 0),
                 List.of(),
-                0);
+                0,
+                EndpointPhase.SERVING);
     }
 
     @Override
