Continue a stream from its copy after a loss, and avoid zones in which it failed

Cause: the standby was compared with all fields of its report, so after the next heartbeat the copy was never used; a refused resume ended with a null pointer; the patience between events also held for a resume that reads the prompt again; attempts to connect drew on the budget for repeats.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 
 /**
  * Chooses the endpoint of a relayed request and the endpoint that keeps a standby copy of it.
@@ -51,37 +53,54 @@
     }
 
     /**
-     * Chooses where a request runs.
+     * Chooses where a request runs. The endpoints of one availability zone often fail together, so
+     * zones in which this request has failed come last.
      *
      * @param candidates endpoints of its service that take new work
-     * @param tried endpoints that this request was sent to already; used only if there is no other
+     * @param failed endpoints at which this request has failed; used only if there is no other
      * @return the endpoint, or empty if there is no candidate
      */
     public Optional<EndpointState> choose(
-            List<EndpointState> candidates, Collection<EndpointId> tried) {
-        return best(candidates, e -> !tried.contains(e.id()) && !health.isSuspect(e.id()))
-                .or(() -> best(candidates, e -> !tried.contains(e.id())))
+            List<EndpointState> candidates, Collection<EndpointState> failed) {
+        Set<EndpointId> ids = idsOf(failed);
+        Set<String> zones = zonesOf(failed);
+        return best(candidates, e -> !zones.contains(e.availabilityZone()) && isFresh(e, ids))
+                .or(() -> best(candidates, e -> isFresh(e, ids)))
+                .or(() -> best(candidates, e -> !ids.contains(e.id())))
                 .or(() -> best(candidates, e -> true));
     }
 
     /**
-     * Chooses where a standby copy of a stream is kept: in another availability zone, because the
-     * endpoints of one zone often fail together.
+     * Chooses where a standby copy of a stream is kept: in another availability zone than the
+     * stream itself.
      *
      * @param candidates endpoints of the service that take new work
      * @param running endpoint where the stream runs
-     * @param tried endpoints where this stream has failed
+     * @param failed endpoints at which this stream has failed
      * @return the endpoint, or empty if no other zone has one that can be reached
      */
     public Optional<EndpointState> chooseStandby(
-            List<EndpointState> candidates, EndpointState running, Collection<EndpointId> tried) {
-        return best(
-                candidates,
-                e ->
-                        !e.id().equals(running.id())
-                                && !e.availabilityZone().equals(running.availabilityZone())
-                                && !tried.contains(e.id())
-                                && !health.isSuspect(e.id()));
+            List<EndpointState> candidates,
+            EndpointState running,
+            Collection<EndpointState> failed) {
+        Set<EndpointId> ids = idsOf(failed);
+        Set<String> zones = zonesOf(failed);
+        Predicate<EndpointState> elsewhere =
+                e -> !e.availabilityZone().equals(running.availabilityZone()) && isFresh(e, ids);
+        return best(candidates, elsewhere.and(e -> !zones.contains(e.availabilityZone())))
+                .or(() -> best(candidates, elsewhere));
+    }
+
+    private boolean isFresh(EndpointState endpoint, Set<EndpointId> failed) {
+        return !failed.contains(endpoint.id()) && !health.isSuspect(endpoint.id());
+    }
+
+    private static Set<EndpointId> idsOf(Collection<EndpointState> endpoints) {
+        return endpoints.stream().map(EndpointState::id).collect(Collectors.toSet());
+    }
+
+    private static Set<String> zonesOf(Collection<EndpointState> endpoints) {
+        return endpoints.stream().map(EndpointState::availabilityZone).collect(Collectors.toSet());
     }
 
     private Optional<EndpointState> best(
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/StreamPatience.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/StreamPatience.java
@@ -13,7 +13,7 @@
 public record StreamPatience(long probeAfterMs, long moveAfterMs) {
 
     /** Part of the allowed pause after which the endpoint is probed. */
-    static final double PROBE_SHARE = 0.3;
+    static final double PROBE_SHARE = 0.22;
 
     /** Part of the allowed pause after which a stream with a standby copy moves. */
     static final double MOVE_SHARE = 0.65;
@@ -37,6 +37,18 @@
         return new StreamPatience(FIRST_EVENT_PROBE_MS, Long.MAX_VALUE);
     }
 
+    /**
+     * Returns the patience after a stream has moved and before its first event there.
+     *
+     * @param gapTargetMs pause that is on time, 0 if the route names none
+     * @param fromCopy whether the endpoint continues from a copy and has little to read
+     * @return patience
+     */
+    public static StreamPatience afterMove(long gapTargetMs, boolean fromCopy) {
+        StreamPatience usual = betweenEvents(gapTargetMs, false);
+        return fromCopy ? usual : new StreamPatience(usual.probeAfterMs(), Long.MAX_VALUE);
+    }
+
     /**
      * Returns the patience between two events.
      *
--- a/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointState.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointState.java
@@ -74,6 +74,16 @@
                 heardAtMs);
     }
 
+    /**
+     * Tells whether another state is of the same process.
+     *
+     * @param other state from another report
+     * @return whether name and start time are equal
+     */
+    public boolean isSameLife(EndpointState other) {
+        return id.equals(other.id) && epochMs == other.epochMs;
+    }
+
     /** Returns whether the endpoint takes new work. */
     public boolean isServing() {
         return phase == EndpointPhase.SERVING;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -1,13 +1,12 @@
 package io.sapphirestack.runtime.relay;
 
-import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.routing.DispatchPermit;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.runtime.error.ServiceException;
 import io.sapphirestack.runtime.metrics.EventLog;
-import java.util.HashSet;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 /** Relays requests whose answer is sent as a whole. */
 final class PlainRelay {
@@ -36,7 +35,7 @@
 
     /** State of one request over its attempts. */
     private static final class Attempts {
-        private final Set<EndpointId> tried = new HashSet<>();
+        private final List<EndpointState> tried = new ArrayList<>();
         private int sent;
         private int unreachable;
         private Optional<Reply> last = Optional.empty();
@@ -73,7 +72,7 @@
     private Optional<Reply> attempt(
             RelayedRequest request, EndpointState endpoint, Attempts attempts)
             throws CallerGoneException {
-        attempts.tried.add(endpoint.id());
+        attempts.tried.add(endpoint);
         try {
             Outcome outcome = send(request, endpoint, attempts);
             attempts.sent++;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
@@ -15,23 +15,24 @@
 
     private final RelayedRequest request;
     private final UpstreamConnection connection;
-    private final Optional<EndpointState> standby;
+    private final Start start;
     private final DispatchPermit permit;
     private final Optional<DispatchPermit> standbyPermit;
     private final EventParser parser = new EventParser();
     private final byte[] buffer = new byte[BUFFER_BYTES];
     private UpstreamAnswer answer;
     private boolean ended;
+    private boolean progress;
 
     private StreamAttempt(
             RelayedRequest request,
             UpstreamConnection connection,
-            Optional<EndpointState> standby,
+            Start start,
             DispatchPermit permit,
             Optional<DispatchPermit> standbyPermit) {
         this.request = request;
         this.connection = connection;
-        this.standby = standby;
+        this.start = start;
         this.permit = permit;
         this.standbyPermit = standbyPermit;
     }
@@ -51,15 +52,16 @@
             boolean fromCopy) {}
 
     static StreamAttempt send(
-            RelayContext context, UpstreamPool pool, RelayedRequest request, Start start)
+            RelayContext context,
+            RelayedRequest request,
+            UpstreamConnection connection,
+            Start start)
             throws UpstreamException {
-        long leftMs = request.remainingMs(context.clock());
-        UpstreamConnection connection = pool.take(start.endpoint(), leftMs);
         StreamAttempt attempt =
                 new StreamAttempt(
                         request,
                         connection,
-                        start.standby(),
+                        start,
                         context.inFlight().begin(start.endpoint().id()),
                         start.standby().map(e -> context.inFlight().begin(e.id())));
         try {
@@ -96,8 +98,13 @@
         return connection.endpoint();
     }
 
-    Optional<EndpointState> standby() {
-        return standby;
+    Start start() {
+        return start;
+    }
+
+    /** Returns whether the endpoint has sent an event. */
+    boolean hasProgress() {
+        return progress;
     }
 
     /** Returns the header of the answer, empty until it has arrived. */
@@ -132,7 +139,9 @@
     List<EventParser.Event> poll() throws UpstreamException {
         int read = connection.read(buffer);
         if (read >= 0) {
-            return parser.feed(buffer, read);
+            List<EventParser.Event> events = parser.feed(buffer, read);
+            progress |= !events.isEmpty();
+            return events;
         }
         if (parser.isWithinEvent()) {
             throw new UpstreamException(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
@@ -1,9 +1,9 @@
 package io.sapphirestack.runtime.relay;
 
-import io.sapphirestack.core.relay.StreamPatience;
 import io.sapphirestack.runtime.error.ServiceException;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.util.List;
 
 /**
@@ -34,7 +34,7 @@
         try (StreamRun run = new StreamRun(context, pool, request)) {
             List<EventParser.Event> first;
             try {
-                first = run.next(StreamPatience.beforeFirstEvent());
+                first = run.next();
             } catch (StreamEndedException e) {
                 answer(request, e.reply());
                 return;
@@ -63,7 +63,7 @@
         request.exchange().answer(reply.status(), reply.headers(), reply.body());
     }
 
-    private void write(StreamRun run, List<EventParser.Event> first, java.io.OutputStream out)
+    private void write(StreamRun run, List<EventParser.Event> first, OutputStream out)
             throws IOException {
         List<EventParser.Event> events = first;
         try {
@@ -72,7 +72,7 @@
                     out.write(event.bytes());
                 }
                 out.flush();
-                events = run.next(run.patience());
+                events = run.next();
             }
         } catch (ServiceException e) {
             LOG.info(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
@@ -3,14 +3,12 @@
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.relay.StreamPatience;
 import io.sapphirestack.core.routing.EndpointState;
-import io.sapphirestack.core.routing.EndpointTable;
 import io.sapphirestack.runtime.error.ServiceException;
 import io.sapphirestack.runtime.metrics.EventLog;
-import java.util.HashSet;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /** One stream over all its attempts. Used by one thread. */
 final class StreamRun implements AutoCloseable {
@@ -27,12 +25,12 @@
     private static final long RETRY_MS = 500;
 
     /** Connections that may fail before a stream is given up. */
-    private static final int MAX_CONNECT_FAILURES = 6;
+    private static final int MAX_CONNECT_FAILURES = 12;
 
     private final RelayContext context;
     private final UpstreamPool pool;
     private final RelayedRequest request;
-    private final Set<EndpointId> failed = new HashSet<>();
+    private final List<EndpointState> failed = new ArrayList<>();
     private StreamAttempt current;
     private UpstreamAnswer firstAnswer;
     private Optional<EndpointState> standby = Optional.empty();
@@ -41,6 +39,7 @@
     private int sent;
     private int unreachable;
     private long progressAtMs;
+    private long startedAtMs;
     private long probedAtMs;
     private long callerCheckedAtMs;
 
@@ -70,26 +69,31 @@
         return firstAnswer;
     }
 
-    StreamPatience patience() {
-        boolean hasStandby = current != null && current.standby().isPresent();
-        return StreamPatience.betweenEvents(request.route().gapTargetMs(), hasStandby);
+    private StreamPatience patience() {
+        long gapTargetMs = request.route().gapTargetMs();
+        StreamAttempt.Start start = current.start();
+        if (current.hasProgress()) {
+            return StreamPatience.betweenEvents(gapTargetMs, start.standby().isPresent());
+        }
+        return firstAnswer == null && !start.fromCopy()
+                ? StreamPatience.beforeFirstEvent()
+                : StreamPatience.afterMove(gapTargetMs, start.fromCopy());
     }
 
     /**
      * Waits for the next events; moves to another endpoint when that is due.
      *
-     * @param patience how long the endpoint may stay silent
      * @return whole events in order, empty at the end of the stream
      */
-    List<EventParser.Event> next(StreamPatience patience) throws ServiceException {
+    List<EventParser.Event> next() throws ServiceException {
         progressAtMs = context.clock().nowMs();
         while (true) {
             try {
                 if (current == null) {
                     start();
                 }
-                List<EventParser.Event> events = advance(patience);
-                if (!events.isEmpty() || current.hasEnded()) {
+                List<EventParser.Event> events = advance();
+                if (!events.isEmpty() || current != null && current.hasEnded()) {
                     return events;
                 }
             } catch (UpstreamException e) {
@@ -98,17 +102,17 @@
         }
     }
 
-    private List<EventParser.Event> advance(StreamPatience patience) throws ServiceException {
+    private List<EventParser.Event> advance() throws ServiceException {
         if (current.answer().isEmpty()) {
-            UpstreamAnswer answer = current.receiveHeader(() -> checkWait(patience));
+            UpstreamAnswer answer = current.receiveHeader(this::checkWait);
             if (!answer.isSuccess()) {
-                refused(answer, current.readBody(() -> checkWait(patience)));
+                refused(answer, current.readBody(this::checkWait));
                 return List.of();
             }
         }
         List<EventParser.Event> events = fresh(current.poll());
         if (events.isEmpty() && !current.hasEnded()) {
-            checkWait(patience);
+            checkWait();
         } else {
             if (firstAnswer == null) {
                 firstAnswer = current.answer().orElseThrow();
@@ -132,7 +136,7 @@
         return fresh;
     }
 
-    private void checkWait(StreamPatience patience) throws ServiceException {
+    private void checkWait() throws ServiceException {
         long nowMs = context.clock().nowMs();
         String peer = current.endpoint().address();
         if (request.deadlineAtMs() <= nowMs) {
@@ -142,12 +146,13 @@
             callerCheckedAtMs = nowMs;
             request.check(context.clock(), peer);
         }
-        long silentMs = nowMs - progressAtMs;
+        StreamPatience patience = patience();
+        long silentMs = nowMs - Math.max(progressAtMs, startedAtMs);
         if (silentMs >= patience.moveAfterMs() && mayMove()) {
             throw new UpstreamException(
                     "silence", peer, "no event for " + silentMs + " ms", true, null);
         }
-        long sinceProbeMs = nowMs - Math.max(progressAtMs, probedAtMs);
+        long sinceProbeMs = nowMs - Math.max(Math.max(progressAtMs, startedAtMs), probedAtMs);
         if (sinceProbeMs >= patience.probeAfterMs() && mayMove()) {
             boolean answered = pool.probe(current.endpoint(), PROBE_TIMEOUT_MS);
             probedAtMs = context.clock().nowMs();
@@ -163,22 +168,25 @@
     }
 
     private void start() throws ServiceException {
-        boolean again = sent > 0;
-        if (again && (!mayMove() || !context.budget().tryRepeat(request.service().name()))) {
-            throw ended("local");
-        }
-        EndpointTable table = context.endpoints().get();
-        List<EndpointState> candidates = table.ofService(request.service().name());
-        Optional<EndpointState> copy = standby.filter(candidates::contains);
+        List<EndpointState> candidates =
+                context.endpoints().get().ofService(request.service().name());
+        Optional<EndpointState> copy =
+                standby.flatMap(held -> candidates.stream().filter(held::isSameLife).findFirst());
         standby = Optional.empty();
         EndpointState endpoint =
                 copy.or(() -> context.placement().choose(candidates, failed))
                         .orElseThrow(() -> ended("local"));
+        UpstreamConnection connection = connect(endpoint);
+        if (sent > 0 && (!mayMove() || !context.budget().tryRepeat(request.service().name()))) {
+            connection.close();
+            throw ended("local");
+        }
         Optional<EndpointState> nextStandby =
                 request.service().keepsCopies() && request.route().kind().mayRunAgain()
                         ? context.placement().chooseStandby(candidates, endpoint, failed)
                         : Optional.empty();
-        context.health().chosen(endpoint.id());
+        sent++;
+        startedAtMs = context.clock().nowMs();
         LOG.info(
                 "SAP1914",
                 "A stream was placed",
@@ -191,27 +199,36 @@
                 "fromCopy",
                 copy.isPresent(),
                 "attempt",
-                sent + 1,
+                sent,
                 "candidates",
                 candidates.size());
+        StreamAttempt.Start start =
+                new StreamAttempt.Start(endpoint, nextStandby, lastEventId, copy.isPresent());
         try {
-            current =
-                    StreamAttempt.send(
-                            context,
-                            pool,
-                            request,
-                            new StreamAttempt.Start(
-                                    endpoint, nextStandby, lastEventId, copy.isPresent()));
+            current = StreamAttempt.send(context, request, connection, start);
         } catch (UpstreamException e) {
-            failed.add(endpoint.id());
-            context.health().unreachable(endpoint.id());
-            if (!e.sent() && ++unreachable > MAX_CONNECT_FAILURES) {
+            markFailed(endpoint);
+            throw e;
+        }
+    }
+
+    private UpstreamConnection connect(EndpointState endpoint) throws ServiceException {
+        context.health().chosen(endpoint.id());
+        try {
+            return pool.take(endpoint, request.remainingMs(context.clock()));
+        } catch (UpstreamException e) {
+            markFailed(endpoint);
+            unreachable++;
+            if (unreachable > MAX_CONNECT_FAILURES) {
                 throw ended(endpoint.address());
             }
-            sent += e.sent() ? 1 : 0;
             throw e;
         }
-        sent++;
+    }
+
+    private void markFailed(EndpointState endpoint) {
+        failed.add(endpoint);
+        context.health().unreachable(endpoint.id());
     }
 
     private void lost(UpstreamException cause) {
@@ -219,8 +236,7 @@
             return;
         }
         EndpointId id = current.endpoint().id();
-        failed.add(id);
-        context.health().unreachable(id);
+        markFailed(current.endpoint());
         LOG.info(
                 "SAP1915",
                 "A stream lost its endpoint",
@@ -234,7 +250,7 @@
                 context.clock().nowMs() - progressAtMs,
                 "cause",
                 cause.getMessage());
-        standby = current.standby();
+        standby = current.start().standby();
         lastReply = Optional.of(Reply.outcomeUnknown("the endpoint broke off"));
         current.close();
         current = null;
@@ -255,7 +271,7 @@
                 answer.status(),
                 "notRun",
                 notRun);
-        failed.add(endpoint.id());
+        failed.add(endpoint);
         current.release(pool);
         current = null;
         Reply reply = new Reply(answer.status(), answer.forwarded(), body, "");
