Let every instance with a disk become a voter, and find voters through any instance

Cause: voters were fixed by the settings, so a voter replaced at another address was never replaced in the log, and an instance whose settings name no voter any more could not join.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ClusterFormation.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ClusterFormation.java
@@ -4,6 +4,7 @@
 import io.sapphirestack.core.replication.ReplicationMessage.FormationReply;
 import io.sapphirestack.core.replication.ReplicationMessage.LearnerRequest;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -20,6 +21,9 @@
 
     private static final long QUERY_INTERVAL_MS = 200;
 
+    /** Silence of leaders after which a voter asks whether it still is one, in milliseconds. */
+    private static final long READMISSION_AFTER_MS = 1_500;
+
     private final NodeState state;
     private final long nonce;
 
@@ -36,8 +40,11 @@
     }
 
     /** Sends queries when they are due; returns whether the node has just formed a cluster. */
-    boolean tick() {
+    boolean tick(long leaderHeardAtMs) {
         if (state.isVoter()) {
+            if (state.clock.nowMs() - leaderHeardAtMs >= READMISSION_AFTER_MS) {
+                askForReadmission();
+            }
             return false;
         }
         if (canForm()) {
@@ -47,15 +54,33 @@
         long now = state.clock.nowMs();
         if (now >= nextQueryMs) {
             nextQueryMs = now + QUERY_INTERVAL_MS;
-            for (String address : state.settings.voterAddresses()) {
-                if (!address.equals(state.settings.address())) {
-                    sendQueries(address);
-                }
-            }
+            others().forEach(this::sendQueries);
         }
         return false;
     }
 
+    /**
+     * Asks to be caught up, because a node that has not heard from a leader for long may have been
+     * removed from the voters meanwhile.
+     */
+    private void askForReadmission() {
+        long now = state.clock.nowMs();
+        if (state.settings.growth().isOpen() && now >= nextQueryMs) {
+            nextQueryMs = now + QUERY_INTERVAL_MS;
+            others().forEach(this::sendLearnerRequest);
+        }
+    }
+
+    private List<String> others() {
+        return state.settings.growth().contacts().get().stream()
+                .filter(address -> !address.equals(state.settings.address()))
+                .toList();
+    }
+
+    private void sendLearnerRequest(String address) {
+        state.queue.sendWhenDurable(state.message("", address, new LearnerRequest()));
+    }
+
     void onQuery(VoterMessage from, FormationQuery query) {
         FormationReply reply = new FormationReply(query.nonce(), state.log.isEmpty());
         state.queue.sendWhenDurable(state.message(from.fromVoter(), from.fromAddress(), reply));
@@ -80,13 +105,14 @@
             state.queue.send(state.message("", address, new FormationQuery(nonce)));
         }
         if (foundLog || !state.log.isEmpty()) {
-            state.queue.sendWhenDurable(state.message("", address, new LearnerRequest()));
+            sendLearnerRequest(address);
         }
     }
 
     private boolean canForm() {
         String own = state.settings.address();
         return state.log.isEmpty()
+                && state.settings.growth().mayForm()
                 && !foundLog
                 && state.settings.voterAddresses().get(0).equals(own)
                 && state.settings.voterAddresses().stream()
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderMembership.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderMembership.java
@@ -15,6 +15,12 @@
     /** Entries that a learner may lag behind when it becomes a voter. */
     private static final long MAX_LAG_ENTRIES = 64;
 
+    /** Silence after which a voter that is not needed for the majority is removed. */
+    private static final long REMOVE_AFTER_MS = 2_500;
+
+    /** Most voters; each one takes part in every commit. */
+    private static final int MAX_VOTERS = 9;
+
     private LeaderMembership() {}
 
     static void tick(NodeState state, LeaderState leader) {
@@ -39,6 +45,26 @@
                 return;
             }
         }
+        lostVoter(state, leader)
+                .flatMap(lost -> removal(state, leader, lost))
+                .ifPresent(leader::proposeMembership);
+    }
+
+    /**
+     * Finds a voter that has been silent for long, if there are more voters than have to remain.
+     * Without it fewer of the others form a majority, so the next loss can be borne again.
+     */
+    private static Optional<String> lostVoter(NodeState state, LeaderState leader) {
+        ClusterMembership membership = state.log.membership();
+        if (membership.voters().size() <= state.settings.growth().minVoters()) {
+            return Optional.empty();
+        }
+        long silentSinceMs = state.clock.nowMs() - REMOVE_AFTER_MS;
+        return leader.peers().stream()
+                .filter(peer -> membership.contains(peer.voterId))
+                .filter(peer -> peer.lastAckMs < silentSinceMs)
+                .map(peer -> peer.voterId)
+                .findFirst();
     }
 
     private static Optional<ClusterMembership> removal(
@@ -59,7 +85,11 @@
 
     private static Optional<ClusterMembership> addition(
             NodeState state, ClusterMembership membership, PeerProgress learner) {
-        return state.settings.voterAddresses().contains(learner.address)
+        boolean welcome =
+                state.settings.growth().isOpen()
+                        ? membership.voters().size() < MAX_VOTERS
+                        : state.settings.voterAddresses().contains(learner.address);
+        return welcome
                 ? Optional.of(membership.with(learner.voterId, learner.address))
                 : Optional.empty();
     }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
@@ -33,6 +33,7 @@
 public final class ReplicationNode {
 
     private final NodeState state;
+
     private final ClusterFormation formation;
     private final FollowerLog followerLog;
     private final List<ReadResult> readResults = new ArrayList<>();
@@ -75,7 +76,7 @@
     /** Lets time pass; to be called at least every 20 ms. */
     public void tick() {
         long now = state.clock.nowMs();
-        if (formation.tick()) {
+        if (formation.tick(leader == null ? lastLeaderContactMs : now)) {
             electionDeadlineMs = now;
         }
         if (leader != null) {
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationSettings.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationSettings.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.core.replication;
 
 import java.util.List;
+import java.util.function.Supplier;
 
 /**
  * Settings of a node.
@@ -14,6 +15,7 @@
  *     milliseconds
  * @param maxAppendBytes bytes of entries in one message, except that one entry always fits
  * @param snapshotChunkBytes bytes of a snapshot in one message
+ * @param growth how nodes that the settings do not name become voters
  */
 public record ReplicationSettings(
         String address,
@@ -23,12 +25,13 @@
         long heartbeatMs,
         long leaseMs,
         int maxAppendBytes,
-        int snapshotChunkBytes) {
+        int snapshotChunkBytes,
+        Growth growth) {
 
     /** Checks the components. */
     public ReplicationSettings {
         voterAddresses = voterAddresses.stream().sorted().distinct().toList();
-        if (!voterAddresses.contains(address)) {
+        if (!growth.isOpen() && !voterAddresses.contains(address)) {
             throw new IllegalArgumentException(
                     "voterAddresses must contain the own address " + address);
         }
@@ -48,6 +51,56 @@
      */
     public static ReplicationSettings withDefaults(String address, List<String> voterAddresses) {
         return new ReplicationSettings(
-                address, voterAddresses, 300, 600, 100, 1_000, 1024 * 1024, 256 * 1024);
+                address,
+                voterAddresses,
+                300,
+                600,
+                100,
+                1_000,
+                1024 * 1024,
+                256 * 1024,
+                Growth.closed(voterAddresses));
+    }
+
+    /**
+     * Returns the same settings with another rule for new voters.
+     *
+     * @param next how nodes become voters
+     * @return a copy
+     */
+    public ReplicationSettings withGrowth(Growth next) {
+        return new ReplicationSettings(
+                address,
+                voterAddresses,
+                electionMinMs,
+                electionMaxMs,
+                heartbeatMs,
+                leaseMs,
+                maxAppendBytes,
+                snapshotChunkBytes,
+                next);
+    }
+
+    /**
+     * How nodes that the settings do not name become voters.
+     *
+     * @param isOpen whether every node that asks becomes a voter
+     * @param mayForm whether empty nodes may form a cluster, which is only so at the first start
+     * @param minVoters voters that remain at least when those that are lost are removed
+     * @param contacts returns the addresses where the cluster is looked for
+     */
+    public record Growth(
+            boolean isOpen, boolean mayForm, int minVoters, Supplier<List<String>> contacts) {
+
+        /**
+         * Returns the rule that only the nodes that the settings name are voters.
+         *
+         * @param voterAddresses addresses of all voters
+         * @return the rule
+         */
+        public static Growth closed(List<String> voterAddresses) {
+            List<String> fixed = List.copyOf(voterAddresses);
+            return new Growth(false, true, Integer.MAX_VALUE, () -> fixed);
+        }
     }
 }
--- a/sapphire-core/src/test/java/io/sapphirestack/core/replication/VoterUnderTest.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/replication/VoterUnderTest.java
@@ -77,7 +77,16 @@
 
     void start() {
         ReplicationSettings settings =
-                new ReplicationSettings(address, addresses, 300, 600, 100, 1_000, 300, 200);
+                new ReplicationSettings(
+                        address,
+                        addresses,
+                        300,
+                        600,
+                        100,
+                        1_000,
+                        300,
+                        200,
+                        ReplicationSettings.Growth.closed(addresses));
         node =
                 new ReplicationNode(
                         settings,
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -23,10 +23,12 @@
 import io.sapphirestack.core.routing.StopRecords;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.blackboard.Blackboard;
+import io.sapphirestack.runtime.concurrent.DaemonThreads;
 import io.sapphirestack.runtime.concurrent.WorkerPool;
 import io.sapphirestack.runtime.control.ControlService;
 import io.sapphirestack.runtime.control.ControlWatcher;
 import io.sapphirestack.runtime.control.DefaultControlClient;
+import io.sapphirestack.runtime.control.VoterDirectory;
 import io.sapphirestack.runtime.endpoint.EndpointRegistry;
 import io.sapphirestack.runtime.endpoint.HttpEngineOrderClient;
 import io.sapphirestack.runtime.endpoint.LeaderLease;
@@ -174,12 +176,7 @@
     private static ScheduledThreadPoolExecutor scheduler() {
         ScheduledThreadPoolExecutor scheduler =
                 new ScheduledThreadPoolExecutor(
-                        SCHEDULER_THREADS,
-                        task -> {
-                            Thread thread = new Thread(task, "scheduler");
-                            thread.setDaemon(true);
-                            return thread;
-                        });
+                        SCHEDULER_THREADS, DaemonThreads.named("scheduler"));
         scheduler.setRemoveOnCancelPolicy(true);
         return scheduler;
     }
@@ -322,7 +319,7 @@
                         RecordSpecResolver.CURRENT_READER_VERSION);
         return new ControlWatcher(
                 info,
-                settings.voters(),
+                new VoterDirectory(settings.voters()),
                 transport,
                 control,
                 blackboard,
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -24,9 +24,12 @@
 import io.sapphirestack.daemon.OwnStop;
 import io.sapphirestack.daemon.PeerListener;
 import io.sapphirestack.runtime.blackboard.Blackboard;
+import io.sapphirestack.runtime.concurrent.DaemonThreads;
 import io.sapphirestack.runtime.control.ControlService;
 import io.sapphirestack.runtime.control.ControlWatcher;
 import io.sapphirestack.runtime.control.DefaultControlClient;
+import io.sapphirestack.runtime.control.VoterDirectory;
+import io.sapphirestack.runtime.control.VoterFinder;
 import io.sapphirestack.runtime.endpoint.EndpointRegistry;
 import io.sapphirestack.runtime.endpoint.SpreadParts;
 import io.sapphirestack.runtime.endpoint.SpreadService;
@@ -61,6 +64,7 @@
     private static final EventLog LOG = EventLog.of(RelayAssembly.class);
     private static final int SCHEDULER_THREADS = 2;
     private static final int SPREAD_FAN_OUT = 3;
+    private static final long LEARN_VOTERS_MS = 300;
     private static final long STOP_TIMEOUT_MS = 2_000;
     private static final long CLOSE_WAIT_MS = 1_000;
 
@@ -72,6 +76,8 @@
     private final SecureRandom random = new SecureRandom();
     private final ScheduledThreadPoolExecutor scheduler;
     private final PeerTransport transport;
+    private final VoterDirectory voters;
+    private final VoterFinder voterFinder;
     private final DefaultControlClient control;
     private final Optional<ControlService> voter;
     private final InFlightTracker inFlight;
@@ -107,7 +113,10 @@
                         listener.address(),
                         settings.clusterKey(),
                         listener.handlers());
-        this.control = new DefaultControlClient(settings.voters(), transport, scheduler, clock);
+        this.voters = new VoterDirectory(settings.voters());
+        this.voterFinder = new VoterFinder(voters, transport, this::instanceAddresses);
+        voterFinder.register(listener.handlers());
+        this.control = new DefaultControlClient(voters, transport, scheduler, clock);
         this.voter = settings.dataFolder().map(this::voter);
         this.inFlight = new InFlightTracker(clock);
         this.registry =
@@ -141,19 +150,20 @@
     private static ScheduledThreadPoolExecutor newScheduler() {
         ScheduledThreadPoolExecutor scheduler =
                 new ScheduledThreadPoolExecutor(
-                        SCHEDULER_THREADS,
-                        task -> {
-                            Thread thread = new Thread(task, "scheduler");
-                            thread.setDaemon(true);
-                            return thread;
-                        });
+                        SCHEDULER_THREADS, DaemonThreads.named("scheduler"));
         scheduler.setRemoveOnCancelPolicy(true);
         return scheduler;
     }
 
     private ControlService voter(Path dataFolder) {
         return new ControlService(
-                ReplicationSettings.withDefaults(listener.address(), settings.voters()),
+                ReplicationSettings.withDefaults(listener.address(), settings.voters())
+                        .withGrowth(
+                                new ReplicationSettings.Growth(
+                                        true,
+                                        settings.isFirstStart(),
+                                        settings.minVoters(),
+                                        voters::contacts)),
                 new DiskLogStore(dataFolder.resolve("control")),
                 transport,
                 listener.handlers(),
@@ -163,6 +173,16 @@
                 new RecordSpecResolver());
     }
 
+    private List<String> instanceAddresses() {
+        return blackboard.control().read().instances().values().stream()
+                .map(InstanceInfo::peerAddress)
+                .toList();
+    }
+
+    private void learnVoters() {
+        voter.ifPresent(service -> service.voters().thenAccept(voters::learn));
+    }
+
     private SpreadService spread() {
         SpreadService service =
                 new SpreadService(
@@ -221,7 +241,7 @@
                         RecordSpecResolver.CURRENT_READER_VERSION);
         return new ControlWatcher(
                 info,
-                settings.voters(),
+                voters,
                 transport,
                 control,
                 blackboard,
@@ -252,6 +272,9 @@
                     "start-voter", String.valueOf(settings.dataFolder().get()), "" + e, e);
         }
         watcher.start();
+        voterFinder.start(scheduler);
+        scheduler.scheduleWithFixedDelay(
+                this::learnVoters, LEARN_VOTERS_MS, LEARN_VOTERS_MS, TimeUnit.MILLISECONDS);
         spread.start(scheduler);
         callers.start(scheduler);
         lifecycle.start(scheduler);
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelaySettings.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelaySettings.java
@@ -13,8 +13,10 @@
  * @param instance name and place
  * @param peerListen {@code host:port} for other instances
  * @param clusterKey key that all instances share
- * @param voters addresses of the voters of the control log
- * @param dataFolder where a voter stores the control log; empty if it is no voter
+ * @param voters addresses of instances that found the control log, or know where it is
+ * @param dataFolder where the control log is stored; an instance without it is no voter
+ * @param isFirstStart whether the fleet starts for the first time, with empty disks
+ * @param minVoters voters that remain at least when those that are lost are removed
  * @param callerListen {@code host:port} for callers
  * @param maxConnections open connections of callers
  * @param repeats bounds on repeats of the whole fleet
@@ -26,6 +28,8 @@
         String clusterKey,
         List<String> voters,
         Optional<Path> dataFolder,
+        boolean isFirstStart,
+        int minVoters,
         String callerListen,
         int maxConnections,
         RepeatBudget.Settings repeats,
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
@@ -14,6 +14,7 @@
 import io.sapphirestack.core.replication.ReplicationSettings;
 import io.sapphirestack.core.replication.VoterMessage;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.concurrent.DaemonThreads;
 import io.sapphirestack.runtime.transport.PeerHandlerRegistry;
 import io.sapphirestack.runtime.transport.PeerTransport;
 import java.util.ArrayList;
@@ -104,9 +105,10 @@
         this.random = Objects.requireNonNull(random, "random");
         this.resolver = Objects.requireNonNull(resolver, "resolver");
         this.lease = new DefaultLeaderLease(clock);
-        this.voterExecutor = Executors.newSingleThreadExecutor(r -> daemon(r, "control-voter"));
+        this.voterExecutor =
+                Executors.newSingleThreadExecutor(DaemonThreads.named("control-voter"));
         this.snapshotExecutor =
-                Executors.newSingleThreadExecutor(r -> daemon(r, "control-snapshot"));
+                Executors.newSingleThreadExecutor(DaemonThreads.named("control-snapshot"));
         registry.register(ReplicationEnvelope.class, this::onEnvelope);
         registry.register(SubmitRequest.class, this::onSubmit);
         registry.register(WatchRequest.class, this::onWatch);
@@ -189,10 +191,19 @@
         return stopped;
     }
 
-    private static Thread daemon(Runnable task, String name) {
-        Thread thread = new Thread(task, name);
-        thread.setDaemon(true);
-        return thread;
+    /**
+     * Returns the voters in force.
+     *
+     * @return completes with no addresses if the voter has stopped or knows no cluster
+     */
+    public CompletableFuture<FindVotersRequest.Voters> voters() {
+        return onVoterThread(
+                new FindVotersRequest.Voters(0, List.of()),
+                reply ->
+                        reply.complete(
+                                new FindVotersRequest.Voters(
+                                        core.state().index(),
+                                        List.copyOf(core.node().membership().voters().values()))));
     }
 
     private void run() {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
@@ -9,6 +9,7 @@
 import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.blackboard.Blackboard;
+import io.sapphirestack.runtime.concurrent.DaemonThreads;
 import io.sapphirestack.runtime.transport.PeerTransport;
 import java.util.List;
 import java.util.Objects;
@@ -41,7 +42,7 @@
     private static final long RETRY_DELAY_MS = 25;
 
     private final InstanceInfo info;
-    private final List<String> voters;
+    private final VoterDirectory voters;
     private final PeerTransport transport;
     private final ControlClient client;
     private final Blackboard blackboard;
@@ -72,7 +73,7 @@
      */
     public ControlWatcher(
             InstanceInfo info,
-            List<String> voters,
+            VoterDirectory voters,
             PeerTransport transport,
             ControlClient client,
             Blackboard blackboard,
@@ -80,21 +81,16 @@
             MillisClock clock,
             RandomGenerator random) {
         this.info = Objects.requireNonNull(info, "info");
-        this.voters = List.copyOf(voters);
+        this.voters = Objects.requireNonNull(voters, "voters");
         this.transport = Objects.requireNonNull(transport, "transport");
         this.client = Objects.requireNonNull(client, "client");
         this.blackboard = Objects.requireNonNull(blackboard, "blackboard");
         this.status = Objects.requireNonNull(status, "status");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.random = Objects.requireNonNull(random, "random");
-        this.voterPosition = Math.floorMod(info.ref().id().hashCode(), this.voters.size());
+        this.voterPosition = Math.floorMod(info.ref().id().hashCode(), voters.addresses().size());
         this.executor =
-                Executors.newSingleThreadScheduledExecutor(
-                        task -> {
-                            Thread thread = new Thread(task, "control-watcher");
-                            thread.setDaemon(true);
-                            return thread;
-                        });
+                Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("control-watcher"));
     }
 
     /** Joins the fleet and follows the control log until {@link #stop()}. */
@@ -186,7 +182,8 @@
             schedule(this::poll);
             return;
         }
-        String address = voters.get(voterPosition);
+        List<String> addresses = voters.addresses();
+        String address = addresses.get(voterPosition % addresses.size());
         long sentMs = clock.nowMs();
         transport
                 .call(address, new WatchRequest(sent, revision, WAIT_MS), WAIT_MS + REPLY_GRACE_MS)
@@ -263,7 +260,7 @@
     }
 
     private void tryNextVoter() {
-        voterPosition = (voterPosition + 1) % voters.size();
+        voterPosition = (voterPosition + 1) % voters.addresses().size();
         schedule(this::poll);
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/DefaultControlClient.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/DefaultControlClient.java
@@ -26,7 +26,7 @@
 
     private static final long RETRY_DELAY_MS = 20;
 
-    private final List<String> voters;
+    private final VoterDirectory voters;
     private final PeerTransport transport;
     private final ScheduledExecutorService scheduler;
     private final MillisClock clock;
@@ -45,14 +45,27 @@
             PeerTransport transport,
             ScheduledExecutorService scheduler,
             MillisClock clock) {
-        this.voters = List.copyOf(voters);
-        if (this.voters.isEmpty()) {
-            throw new IllegalArgumentException("at least one voter is needed");
-        }
+        this(new VoterDirectory(voters), transport, scheduler, clock);
+    }
+
+    /**
+     * Creates a client that follows changes of the voters.
+     *
+     * @param voters addresses of the voters; the first one is asked first
+     * @param transport sends the requests
+     * @param scheduler runs retries; not shut down by this class
+     * @param clock monotonic clock
+     */
+    public DefaultControlClient(
+            VoterDirectory voters,
+            PeerTransport transport,
+            ScheduledExecutorService scheduler,
+            MillisClock clock) {
+        this.voters = Objects.requireNonNull(voters, "voters");
         this.transport = Objects.requireNonNull(transport, "transport");
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
         this.clock = Objects.requireNonNull(clock, "clock");
-        this.preferred = new AtomicReference<>(this.voters.get(0));
+        this.preferred = new AtomicReference<>(voters.addresses().get(0));
     }
 
     @Override
@@ -108,8 +121,8 @@
     }
 
     private String after(String address) {
-        int position = voters.indexOf(address);
-        return voters.get((position + 1) % voters.size());
+        List<String> all = voters.addresses();
+        return all.get((all.indexOf(address) + 1) % all.size());
     }
 
     /** One call with its retries. */
@@ -165,7 +178,7 @@
             }
             Optional<T> value = result.apply(reply);
             String hint = leader.apply(reply);
-            if (!hint.isEmpty() && voters.contains(hint)) {
+            if (!hint.isEmpty() && voters.addresses().contains(hint)) {
                 preferred.compareAndSet(address, hint);
             } else if (value.isEmpty()) {
                 preferred.compareAndSet(address, after(address));
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
@@ -279,7 +279,7 @@
         ControlWatcher watcher =
                 new ControlWatcher(
                         new InstanceInfo(ref, "az1", "r1", id + ":1", id + ":2", 1),
-                        VOTERS,
+                        new VoterDirectory(VOTERS),
                         peers.transport(id),
                         new DefaultControlClient(VOTERS, peers.transport(id), scheduler, clock),
                         board,
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlWatcherTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlWatcherTests.java
@@ -129,7 +129,7 @@
         watcher =
                 new ControlWatcher(
                         new InstanceInfo(PROPOSED, "az1", "r1", "p:1", "h:1", 1),
-                        List.of("v1:1", "v2:1"),
+                        new VoterDirectory(List.of("v1:1", "v2:1")),
                         new ScriptedTransport(),
                         new JoiningClient(),
                         board,
