--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
@@ -31,6 +31,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 
@@ -46,7 +47,6 @@
     private static final Logger LOG = Logger.getLogger(ControlService.class);
 
     private static final long TICK_MS = 10;
-    private static final long SEND_TIMEOUT_MS = 1_000;
 
     /** Long polls end after this time, so that heartbeats come at least this often. */
     private static final long MAX_WATCH_MS = 500;
@@ -132,7 +132,7 @@
                         resolver,
                         snapshotExecutor,
                         queue::add,
-                        this::send,
+                        new VoterMessageSender(transport),
                         this::applied);
         watches = new WatchTracker(core.state());
         lastLoopMs = clock.nowMs();
@@ -157,9 +157,7 @@
      * @return completes with false if the voter has stopped
      */
     public CompletableFuture<Boolean> isVoter() {
-        return onVoterThread(
-                false,
-                reply -> reply.complete(core.node().membership().contains(core.node().voterId())));
+        return read(false, () -> core.node().membership().contains(core.node().voterId()));
     }
 
     /**
@@ -168,12 +166,9 @@
      * @return whether this voter does not lead or has asked another one to take over
      */
     public CompletableFuture<Boolean> transferLeadership() {
-        return onVoterThread(
+        return read(
                 false,
-                reply ->
-                        reply.complete(
-                                core.node().leadership().isEmpty()
-                                        || core.node().transferLeadership()));
+                () -> core.node().leadership().isEmpty() || core.node().transferLeadership());
     }
 
     /**
@@ -197,13 +192,16 @@
      * @return completes with no addresses if the voter has stopped or knows no cluster
      */
     public CompletableFuture<FindVotersRequest.Voters> voters() {
-        return onVoterThread(
+        return read(
                 new FindVotersRequest.Voters(0, List.of()),
-                reply ->
-                        reply.complete(
-                                new FindVotersRequest.Voters(
-                                        core.state().index(),
-                                        List.copyOf(core.node().membership().voters().values()))));
+                () ->
+                        new FindVotersRequest.Voters(
+                                core.state().index(),
+                                List.copyOf(core.node().membership().voters().values())));
+    }
+
+    private <T> CompletableFuture<T> read(T stopped, Supplier<T> value) {
+        return onVoterThread(stopped, reply -> reply.complete(value.get()));
     }
 
     private void run() {
@@ -296,15 +294,6 @@
         submits.applied(entry, result, core.node().leaderAddress());
     }
 
-    private void send(List<VoterMessage> messages) {
-        for (VoterMessage message : messages) {
-            // Lost messages are repeated by the replicated log, so failures need no handling here.
-            transport
-                    .call(message.toAddress(), new ReplicationEnvelope(message), SEND_TIMEOUT_MS)
-                    .exceptionally(failure -> null);
-        }
-    }
-
     private CompletableFuture<ReplicationEnvelope.Accepted> onEnvelope(
             ReplicationEnvelope envelope) {
         if (running) {
