--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
@@ -47,6 +47,7 @@
     private static final Logger LOG = Logger.getLogger(ControlService.class);
 
     private static final long TICK_MS = 10;
+    private static final long CALL_TIMEOUT_MS = 1_000;
 
     /** Long polls end after this time, so that heartbeats come at least this often. */
     private static final long MAX_WATCH_MS = 500;
@@ -416,7 +417,7 @@
                         reply.complete(new FleetRequest.FleetReply(Optional.empty(), leader));
                     } else {
                         transport
-                                .call(leader, new FleetRequest(true), SEND_TIMEOUT_MS)
+                                .call(leader, new FleetRequest(true), CALL_TIMEOUT_MS)
                                 .exceptionally(
                                         failure ->
                                                 new FleetRequest.FleetReply(
@@ -444,7 +445,7 @@
                         ReportPeerRequest next =
                                 new ReportPeerRequest(request.reporter(), request.reported(), true);
                         transport
-                                .call(leader, next, SEND_TIMEOUT_MS)
+                                .call(leader, next, CALL_TIMEOUT_MS)
                                 .exceptionally(failure -> refused)
                                 .thenAccept(reply::complete);
                     }
