--- /dev/null
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/TrafficPlanTests.java
@@ -0,0 +1,113 @@
+package io.sapphirestack.core.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against contradictory plans in force and against requests on the wrong route. */
+class TrafficPlanTests {
+
+    private static final List<RelayedService> SERVICES =
+            List.of(new RelayedService("a", 10, 0, false), new RelayedService("b", 10, 0, true));
+
+    private static TrafficRoute route(String prefix, long timeoutMs, TrafficRoute.Target... to) {
+        return new TrafficRoute(
+                "r" + prefix,
+                "shop.example",
+                prefix,
+                RequestKind.IDEMPOTENT,
+                timeoutMs,
+                100,
+                0,
+                1,
+                2,
+                false,
+                List.of(to));
+    }
+
+    private static TrafficRoute.Target to(String service, long weight) {
+        return new TrafficRoute.Target(service, weight);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "/x/, /x/",
+        "/x/1, /x/",
+        "/x/y/1, /x/y/",
+        "/x/y/?q=/z/, /x/y/",
+        "/x, none",
+        "/z/, none"
+    })
+    void longestPrefixSelectsTheRoute(String path, String prefix) throws TrafficPlanException {
+        TrafficPlan plan =
+                new TrafficPlan(
+                        1,
+                        List.of(route("/x/", 10, to("a", 1)), route("/x/y/", 10, to("b", 1))),
+                        SERVICES,
+                        List.of(),
+                        CallerLimits.DEFAULT);
+        assertThat(plan.route("Shop.example:80", path).map(TrafficRoute::pathPrefix).orElse("none"))
+                .isEqualTo(prefix);
+        assertThat(plan.route("other.example", path)).isEmpty();
+    }
+
+    static List<List<TrafficRoute>> contradictions() {
+        return List.of(
+                List.of(route("/x/", 10, to("unknown", 1))),
+                List.of(route("/x/", 10, to("a", 1)), route("/x/", 20, to("b", 1))),
+                List.of(route("/x/", 10, to("a", 0), to("b", 0))),
+                List.of(route("/x/", 0, to("a", 1))),
+                List.of(route("x/", 10, to("a", 1))),
+                List.of(route("/x/", 10)),
+                List.of(route("/x/", 10, to("a", -1), to("b", 2))));
+    }
+
+    @ParameterizedTest
+    @MethodSource("contradictions")
+    void contradictionsAreRefused(List<TrafficRoute> routes) {
+        assertThatThrownBy(
+                        () -> new TrafficPlan(1, routes, SERVICES, List.of(), CallerLimits.DEFAULT))
+                .isInstanceOf(TrafficPlanException.class);
+    }
+
+    @Test
+    void accountsMustNotShareAKey() {
+        List<RelayedAccount> accounts =
+                List.of(
+                        new RelayedAccount("one", List.of("k1", "k2")),
+                        new RelayedAccount("two", List.of("k2")));
+        assertThatThrownBy(
+                        () ->
+                                new TrafficPlan(
+                                        1, List.of(), SERVICES, accounts, CallerLimits.DEFAULT))
+                .isInstanceOf(TrafficPlanException.class)
+                .hasMessageContaining("two");
+    }
+
+    @Test
+    void keyFindsItsAccount() throws TrafficPlanException {
+        TrafficPlan plan =
+                new TrafficPlan(
+                        1,
+                        List.of(),
+                        SERVICES,
+                        List.of(new RelayedAccount("one", List.of("k1"))),
+                        CallerLimits.DEFAULT);
+        assertThat(plan.needsKeys()).isTrue();
+        assertThat(plan.account("k1").map(RelayedAccount::name)).isEqualTo(Optional.of("one"));
+        assertThat(plan.account("k2")).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.0, a", "0.89, a", "0.91, b", "0.999, b"})
+    void weightsShareTheRequests(double fraction, String service) {
+        assertThat(route("/x/", 10, to("a", 90), to("b", 10)).pickService(fraction))
+                .isEqualTo(service);
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayWorld.java
@@ -0,0 +1,148 @@
+package io.sapphirestack.runtime.relay;
+
+import io.sapphirestack.core.relay.CallerLimits;
+import io.sapphirestack.core.relay.EndpointHealth;
+import io.sapphirestack.core.relay.RelayPlacement;
+import io.sapphirestack.core.relay.RelayedAccount;
+import io.sapphirestack.core.relay.RelayedService;
+import io.sapphirestack.core.relay.RepeatBudget;
+import io.sapphirestack.core.relay.RequestKind;
+import io.sapphirestack.core.relay.TrafficPlan;
+import io.sapphirestack.core.relay.TrafficPlanException;
+import io.sapphirestack.core.relay.TrafficRoute;
+import io.sapphirestack.core.routing.EndpointState;
+import io.sapphirestack.core.routing.EndpointTable;
+import io.sapphirestack.core.routing.InFlightTracker;
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.error.ServiceException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** A relay before scripted endpoints, called over real connections. */
+final class RelayWorld implements AutoCloseable {
+
+    private static final int READ_TIMEOUT_MS = 10_000;
+
+    private final MillisClock clock = MillisClock.monotonic();
+    private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
+    private final AtomicReference<Optional<TrafficPlan>> plan =
+            new AtomicReference<>(Optional.empty());
+    private final TrafficRelay relay;
+    private final RelayListener listener;
+
+    RelayWorld(ScriptedEndpoint... endpoints) throws ServiceException {
+        EndpointTable table =
+                new EndpointTable(
+                        Stream.of(endpoints)
+                                .map(ScriptedEndpoint::state)
+                                .collect(Collectors.toMap(EndpointState::id, Function.identity())));
+        EndpointHealth health = new EndpointHealth(clock);
+        InFlightTracker inFlight = new InFlightTracker(clock);
+        // The endpoint with the lowest name in the own zone comes first.
+        RelayPlacement placement =
+                new RelayPlacement("z1", e -> inFlight.inFlight(e.id()), health, () -> 0);
+        relay =
+                new TrafficRelay(
+                        new RelayContext(
+                                RelayHeaders.DEFAULT,
+                                plan::get,
+                                () -> table,
+                                placement,
+                                health,
+                                inFlight,
+                                new RepeatBudget(
+                                        new RepeatBudget.Settings(1, 10, 10_000), () -> 1, clock),
+                                clock));
+        listener =
+                new RelayListener(
+                        "caller", "127.0.0.1:0", 50, relay, () -> CallerLimits.DEFAULT, clock);
+        listener.start(scheduler);
+    }
+
+    /** Puts a plan in force: /read/, /order/ and /stream/, each with its kind. */
+    RelayWorld withPlan() throws TrafficPlanException {
+        plan.set(
+                Optional.of(
+                        new TrafficPlan(
+                                1,
+                                List.of(
+                                        route("/read/", RequestKind.IDEMPOTENT, 2),
+                                        route("/order/", RequestKind.NON_IDEMPOTENT, 2),
+                                        route("/stream/", RequestKind.RESUMABLE_STREAM, 4)),
+                                List.of(new RelayedService("scribe", 10, 1_000, true)),
+                                List.of(new RelayedAccount("shop", List.of("k1"))),
+                                CallerLimits.DEFAULT)));
+        return this;
+    }
+
+    private static TrafficRoute route(String prefix, RequestKind kind, int maxAttempts) {
+        return new TrafficRoute(
+                prefix,
+                "h",
+                prefix,
+                kind,
+                5_000,
+                1_000,
+                700,
+                1,
+                maxAttempts,
+                false,
+                List.of(new TrafficRoute.Target("scribe", 1)));
+    }
+
+    Socket connect() throws IOException {
+        String address = listener.address();
+        Socket socket =
+                new Socket(
+                        "127.0.0.1",
+                        Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        return socket;
+    }
+
+    static String request(String method, String path, String fields, String body) {
+        return method
+                + " "
+                + path
+                + " HTTP/1.1\r\nHost: h\r\nSapphire-Key: k1\r\nSapphire-Request-Id: r1\r\n"
+                + fields
+                + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n")
+                + "\r\n"
+                + body;
+    }
+
+    /** Sends bytes on a new connection, and returns all that comes until the relay closes it. */
+    String call(String bytes) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            InputStream in = socket.getInputStream();
+            return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    /** Makes one request and returns the whole answer. */
+    String call(String method, String path, String body) throws IOException {
+        return call(request(method, path, "Connection: close\r\n", body));
+    }
+
+    TrafficRelay relay() {
+        return relay;
+    }
+
+    @Override
+    public void close() {
+        listener.close();
+        relay.close();
+        scheduler.shutdownNow();
+    }
+}
--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/ScriptedEndpoint.java
@@ -0,0 +1,148 @@
+package io.sapphirestack.runtime.relay;
+
+import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.membership.EndpointLoad;
+import io.sapphirestack.core.routing.EndpointState;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Endpoint whose answers a test writes byte by byte. */
+final class ScriptedEndpoint implements AutoCloseable {
+
+    private final ServerSocket server;
+    private final String id;
+    private final String zone;
+    private final Script script;
+    private final List<Received> received = new CopyOnWriteArrayList<>();
+
+    /** A request as it arrived. */
+    record Received(String line, Map<String, String> headers, String body) {}
+
+    /** Writes the answer; the connection is closed when it throws. */
+    @FunctionalInterface
+    interface Script {
+        void answer(Received request, Socket socket, OutputStream out) throws Exception;
+    }
+
+    ScriptedEndpoint(String id, String zone, Script script) throws IOException {
+        this.id = id;
+        this.zone = zone;
+        this.script = script;
+        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        start(this::accept);
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "scripted-endpoint");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    EndpointState state() {
+        return new EndpointState(
+                EndpointId.of(id),
+                "scribe",
+                "127.0.0.1:" + server.getLocalPort(),
+                zone,
+                1,
+                Set.of(),
+                new EndpointLoad(0, 0, 8, 0),
+                0);
+    }
+
+    List<Received> received() {
+        return received;
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                start(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            BufferedReader in =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                Received request = read(line, in);
+                received.add(request);
+                script.answer(request, socket, socket.getOutputStream());
+                socket.getOutputStream().flush();
+            }
+        } catch (Exception e) {
+            // The script breaks the connection that way.
+            return;
+        }
+    }
+
+    private static Received read(String line, BufferedReader in) throws IOException {
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        for (String field = in.readLine(); !field.isEmpty(); field = in.readLine()) {
+            int colon = field.indexOf(':');
+            headers.put(field.substring(0, colon), field.substring(colon + 1).trim());
+        }
+        char[] body = new char[Integer.parseInt(headers.getOrDefault("Content-Length", "0"))];
+        for (int read = 0; read < body.length; ) {
+            read += in.read(body, read, body.length - read);
+        }
+        return new Received(line, headers, new String(body));
+    }
+
+    static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    /** Returns a whole answer to a request. */
+    static String answer(Received request, int status, String fields, String body) {
+        return "HTTP/1.1 "
+                + status
+                + " X\r\nSapphire-Request-Id: "
+                + request.headers().getOrDefault("Sapphire-Request-Id", "")
+                + "\r\n"
+                + fields
+                + "Content-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    /** Returns the header of a stream of events. */
+    static String streamHeader(Received request, String seal) {
+        return "HTTP/1.1 200 OK\r\nSapphire-Request-Id: "
+                + request.headers().get("Sapphire-Request-Id")
+                + "\r\nSapphire-Seal: "
+                + seal
+                + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
+    /** Returns one event as a chunk. */
+    static String event(long number) {
+        String event = "id: " + number + "\ndata: e" + number + "\n\n";
+        return Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
