Start a node with storage that the settings do not name as a voter

Cause: the default settings checked the own address before the rule for growth was set, so such an instance ended at once with an exception at every start.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationSettings.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationSettings.java
@@ -50,35 +50,21 @@
      * @return the settings
      */
     public static ReplicationSettings withDefaults(String address, List<String> voterAddresses) {
-        return new ReplicationSettings(
-                address,
-                voterAddresses,
-                300,
-                600,
-                100,
-                1_000,
-                1024 * 1024,
-                256 * 1024,
-                Growth.closed(voterAddresses));
+        return withDefaults(address, voterAddresses, Growth.closed(voterAddresses));
     }
 
     /**
-     * Returns the same settings with another rule for new voters.
+     * Creates settings with the times of the design.
      *
-     * @param next how nodes become voters
-     * @return a copy
+     * @param address own {@code host:port}
+     * @param voterAddresses addresses of the voters that form the cluster
+     * @param growth how other nodes become voters
+     * @return the settings
      */
-    public ReplicationSettings withGrowth(Growth next) {
+    public static ReplicationSettings withDefaults(
+            String address, List<String> voterAddresses, Growth growth) {
         return new ReplicationSettings(
-                address,
-                voterAddresses,
-                electionMinMs,
-                electionMaxMs,
-                heartbeatMs,
-                leaseMs,
-                maxAppendBytes,
-                snapshotChunkBytes,
-                next);
+                address, voterAddresses, 300, 600, 100, 1_000, 1024 * 1024, 256 * 1024, growth);
     }
 
     /**
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -157,13 +157,14 @@
 
     private ControlService voter(Path dataFolder) {
         return new ControlService(
-                ReplicationSettings.withDefaults(listener.address(), settings.voters())
-                        .withGrowth(
-                                new ReplicationSettings.Growth(
-                                        true,
-                                        settings.isFirstStart(),
-                                        settings.minVoters(),
-                                        voters::contacts)),
+                ReplicationSettings.withDefaults(
+                        listener.address(),
+                        settings.voters(),
+                        new ReplicationSettings.Growth(
+                                true,
+                                settings.isFirstStart(),
+                                settings.minVoters(),
+                                voters::contacts)),
                 new DiskLogStore(dataFolder.resolve("control")),
                 transport,
                 listener.handlers(),
