--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceProcess.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceProcess.java
@@ -4,6 +4,7 @@
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import sun.misc.Signal;
 
 /** Life of the process around an instance: start, planned stop on a signal, exit status. */
 public final class InstanceProcess {
@@ -49,6 +50,21 @@
         return EXIT_OK;
     }
 
+    /**
+     * Runs an action at each signal that the settings have changed. Without it the JVM would end at
+     * this signal.
+     *
+     * @param action reads the settings again
+     */
+    public static void onReload(Runnable action) {
+        Signal.handle(
+                new Signal("HUP"),
+                signal -> {
+                    LOG.info("SAP1311", "A reload was requested by a signal");
+                    action.run();
+                });
+    }
+
     private static void stopOnSignal(ManagedInstance instance) {
         instance.planStop();
         try {
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/Sapphired.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/Sapphired.java
@@ -83,6 +83,8 @@
         try {
             PeerListener listener =
                     new PeerListener("peer", settings.peerListen(), settings.clusterKey());
+            // The settings of a running instance do not change.
+            InstanceProcess.onReload(() -> {});
             return InstanceProcess.run(new InstanceAssembly(settings, listener));
         } catch (SapphireException e) {
             EventLog.of(Sapphired.class).error("SAP1310", e, "Instance cannot start");
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -292,6 +292,16 @@
                 voter.isPresent());
     }
 
+    /**
+     * Takes over the part of changed settings that a running instance can use: where to look for
+     * the voters.
+     *
+     * @param changed settings that were read again
+     */
+    public void reload(RelaySettings changed) {
+        voters.replaceInitial(changed.voters());
+    }
+
     /** Returns the plans of the operator. */
     public TrafficPlans plans() {
         return plans;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterDirectory.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterDirectory.java
@@ -12,7 +12,7 @@
  */
 public final class VoterDirectory {
 
-    private final List<String> initial;
+    private volatile List<String> initial;
     private final AtomicReference<FindVotersRequest.Voters> learned;
 
     /**
@@ -40,6 +40,17 @@
         return new ArrayList<>(contacts);
     }
 
+    /**
+     * Replaces the addresses that the settings name.
+     *
+     * @param addresses addresses of changed settings; ignored if there are none
+     */
+    public void replaceInitial(List<String> addresses) {
+        if (!addresses.isEmpty()) {
+            initial = List.copyOf(addresses);
+        }
+    }
+
     /** Returns what this instance tells others. */
     FindVotersRequest.Voters voters() {
         return learned.get();
