A copy that is missing does not count as a failure of its endpoint

Cause: after a refused copy the endpoint counted as failed, so the prompt was read again at an endpoint of the zone that had just failed, until the attempts were used up (streamIsReadAgainWhereItsCopyIsMissing).

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
@@ -271,7 +271,10 @@
                 answer.status(),
                 "notRun",
                 notRun);
-        failed.add(endpoint);
+        boolean copyMissing = notRun && current.start().fromCopy();
+        if (!copyMissing) {
+            failed.add(endpoint);
+        }
         current.release(pool);
         current = null;
         Reply reply = new Reply(answer.status(), answer.forwarded(), body, "");
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -323,7 +323,10 @@
                                 "z1",
                                 (request, socket, out) -> {
                                     started.countDown();
-                                    if (socket.getInputStream().read() < 0) {
+                                    try {
+                                        // Returns or fails only when the relay closes.
+                                        socket.getInputStream().read();
+                                    } finally {
                                         ended.countDown();
                                     }
                                     throw new IOException("the relay has left");
