--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
@@ -1,10 +1,10 @@
 package io.sapphirestack.daemon;
 
+import io.sapphirestack.core.time.MillisClock;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
-import java.util.logging.StreamHandler;
 
 /**
  * Log manager that keeps its handlers while the process shuts down. The JDK's own removes them as
@@ -17,7 +17,7 @@
         super();
     }
 
-    /** Sends all events to the standard error stream. */
+    /** Sends all events to the standard output. */
     public static void install() {
         System.setProperty("org.jboss.logging.provider", "jdk");
         Logger root = Logger.getLogger("");
@@ -25,7 +25,7 @@
             root.removeHandler(handler);
         }
         Level level = Boolean.getBoolean("sapphire.debug") ? Level.FINE : Level.INFO;
-        StreamHandler handler = new FlushingHandler();
+        BoundedLogHandler handler = new BoundedLogHandler(System.out, MillisClock.monotonic());
         handler.setLevel(level);
         root.addHandler(handler);
         root.setLevel(Level.INFO);
@@ -37,16 +37,10 @@
         // Called by the shutdown hook of the JDK and once at start, when there is nothing to reset.
     }
 
-    private static final class FlushingHandler extends StreamHandler {
-
-        FlushingHandler() {
-            super(System.err, new LogLineFormatter());
-        }
-
-        @Override
-        public synchronized void publish(java.util.logging.LogRecord record) {
-            super.publish(record);
-            flush();
+    /** Waits for a short time until all events are written; called before the process ends. */
+    public static void flush() {
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.flush();
         }
     }
 }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceProcess.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceProcess.java
@@ -46,6 +46,7 @@
         instance.left().join();
         instance.close();
         LOG.info("SAP1309", "Instance has stopped");
+        DaemonLogManager.flush();
         Runtime.getRuntime().halt(EXIT_OK);
         return EXIT_OK;
     }
@@ -72,6 +73,8 @@
             // The main thread ends the process now; until then the hook must not return.
             TimeUnit.HOURS.sleep(STOP_LIMIT_H);
         } catch (CompletionException e) {
+            LOG.error("SAP1313", e, "The planned stop failed");
+            DaemonLogManager.flush();
             Runtime.getRuntime().halt(EXIT_FAILED);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/LogLineFormatter.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/LogLineFormatter.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.daemon;
 
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.time.Instant;
@@ -12,32 +13,41 @@
 import java.util.regex.Pattern;
 
 /**
- * Writes one line per event: time, level, event identifier, message with its fields. Thread-safe.
+ * Writes one line of JSON per event: time, level, event identifier, sentence, and the fields of the
+ * event beside them. Thread-safe.
  */
 public final class LogLineFormatter extends Formatter {
 
     private static final DateTimeFormatter TIME =
             DateTimeFormatter.ofPattern("uuuu-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
-    private static final Pattern ID = Pattern.compile("^(SAP[0-9]{4}):? (.*)$", Pattern.DOTALL);
+
+    // The fields of an event stand behind its sentence as a JSON object.
+    private static final Pattern EVENT =
+            Pattern.compile("^(SAP[0-9]{4}):? (.*?)(?: \\{(\".*)\\})?$", Pattern.DOTALL);
 
     @Override
     public String format(LogRecord record) {
         String message = formatMessage(record);
-        Matcher matcher = ID.matcher(message);
-        String id = matcher.matches() ? matcher.group(1) : "-";
-        String text = matcher.matches() ? matcher.group(2) : message;
-        StringBuilder line =
-                new StringBuilder(TIME.format(Instant.ofEpochMilli(record.getMillis())))
-                        .append(' ')
-                        .append(level(record.getLevel()))
-                        .append(' ')
-                        .append(id)
-                        .append(' ')
-                        .append(oneLine(text));
+        Matcher event = EVENT.matcher(message);
+        boolean isEvent = event.matches();
+        StringBuilder line = new StringBuilder("{");
+        append(line, "timeUtc", TIME.format(Instant.ofEpochMilli(record.getMillis())));
+        append(line.append(','), "level", level(record.getLevel()));
+        append(line.append(','), "event", isEvent ? event.group(1) : "");
+        append(line.append(','), "message", isEvent ? event.group(2) : message);
+        if (isEvent && event.group(3) != null) {
+            line.append(',').append(event.group(3));
+        }
         if (record.getThrown() != null) {
-            line.append(" cause=\"").append(oneLine(stackTrace(record.getThrown()))).append('"');
+            append(line.append(','), "thrown", stackTrace(record.getThrown()));
         }
-        return line.append('\n').toString();
+        return line.append("}\n").toString();
+    }
+
+    private static void append(StringBuilder line, String name, String value) {
+        line.append('"').append(name).append("\":\"");
+        JsonStringEncoder.getInstance().quoteAsString(value, line);
+        line.append('"');
     }
 
     private static String level(Level level) {
@@ -50,10 +60,6 @@
         return level.intValue() >= Level.INFO.intValue() ? "INFO" : "DEBUG";
     }
 
-    private static String oneLine(String text) {
-        return text.replace("\r", "").replace("\n\t", " | ").replace('\n', ' ');
-    }
-
     private static String stackTrace(Throwable thrown) {
         StringWriter text = new StringWriter();
         thrown.printStackTrace(new PrintWriter(text));
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/Sapphired.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/Sapphired.java
@@ -27,7 +27,9 @@
         // Must come before the first use of the class, which also initializes the JDK's manager.
         System.setProperty("java.util.logging.manager", "io.sapphirestack.daemon.DaemonLogManager");
         DaemonLogManager.install();
-        System.exit(run(arguments, System.out, System.err));
+        int status = run(arguments, System.out, System.err);
+        DaemonLogManager.flush();
+        System.exit(status);
     }
 
     /** Returns the exit status; an instance that started ends the process by itself. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/EventLog.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/EventLog.java
@@ -1,12 +1,13 @@
 package io.sapphirestack.runtime.metrics;
 
-import java.util.Objects;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.util.OptionalLong;
 import java.util.regex.Pattern;
 import org.jboss.logging.Logger;
 
 /**
  * Writes numbered events. An event is one line: its identifier ({@code SAPnnnn}, catalogued in
- * {@code docs/events.md}), a fixed sentence, and fields as {@code key=value}. Thread-safe.
+ * {@code docs/events.md}), a fixed sentence, and its fields as a JSON object. Thread-safe.
  */
 public final class EventLog {
 
@@ -85,29 +86,32 @@
             throw new IllegalArgumentException("fields need a name and a value each: " + id);
         }
         StringBuilder line = new StringBuilder(id).append(' ').append(message);
-        for (int i = 0; i < fields.length; i += 2) {
-            line.append(' ').append(fields[i]).append('=');
-            appendValue(line, Objects.toString(fields[i + 1]));
+        if (fields.length > 0) {
+            line.append(" {");
+            for (int i = 0; i < fields.length; i += 2) {
+                line.append(i == 0 ? "" : ",");
+                appendQuoted(line, String.valueOf(fields[i]));
+                line.append(':');
+                appendValue(line, fields[i + 1]);
+            }
+            line.append('}');
         }
         return line.toString();
     }
 
-    // Values with spaces, quotes or control characters are quoted, so that a line stays one line
-    // and can be split by tools.
-    private static void appendValue(StringBuilder line, String value) {
-        if (!value.isEmpty() && value.chars().allMatch(c -> c > ' ' && c != '"' && c != '=')) {
+    private static void appendValue(StringBuilder line, Object value) {
+        if (value instanceof OptionalLong number) {
+            appendValue(line, number.isPresent() ? number.getAsLong() : "");
+        } else if (value instanceof Integer || value instanceof Long || value instanceof Boolean) {
             line.append(value);
-            return;
+        } else {
+            appendQuoted(line, String.valueOf(value));
         }
+    }
+
+    private static void appendQuoted(StringBuilder line, String text) {
         line.append('"');
-        for (int i = 0; i < value.length(); i++) {
-            char c = value.charAt(i);
-            if (c == '"' || c == '\\') {
-                line.append('\\').append(c);
-            } else {
-                line.append(c < ' ' ? ' ' : c);
-            }
-        }
+        JsonStringEncoder.getInstance().quoteAsString(text, line);
         line.append('"');
     }
 }
