--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
@@ -31,9 +31,6 @@
 
     private static final EventLog LOG = EventLog.of(CallerConnection.class);
 
-    /** Time between looks at whether an idle connection has to end, in milliseconds. */
-    private static final int IDLE_TICK_MS = 500;
-
     private static final int READ_CHUNK_BYTES = 4_096;
 
     private final DefaultBHttpServerConnection connection;
@@ -44,6 +41,7 @@
     private final MillisClock clock;
     private final Runnable afterwards;
     private volatile long headerSinceMs = -1;
+    private volatile boolean idle;
 
     CallerConnection(
             TrackedSocket socket,
@@ -83,14 +81,21 @@
 
     /** Returns whether the next request begins to arrive before the idle timeout. */
     private boolean awaitRequest() throws IOException {
-        long idleSinceMs = clock.nowMs();
-        while (!connection.isDataAvailable(Timeout.ofMilliseconds(IDLE_TICK_MS))) {
-            boolean idleTooLong = clock.nowMs() - idleSinceMs > limits.idleTimeoutMs();
-            if (idleTooLong || stopping.getAsBoolean() || connection.isStale()) {
-                return false;
-            }
+        idle = true;
+        try {
+            // A stop closes the connection from outside, so the wait needs no wake-ups.
+            return !stopping.getAsBoolean()
+                    && connection.isDataAvailable(Timeout.ofMilliseconds(limits.idleTimeoutMs()));
+        } finally {
+            idle = false;
+        }
+    }
+
+    /** Closes the connection if no request is being served. */
+    void closeIfIdle() {
+        if (idle) {
+            connection.close(CloseMode.GRACEFUL);
         }
-        return true;
     }
 
     /** Serves one request; returns whether the connection is kept. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayListener.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayListener.java
@@ -97,6 +97,7 @@
     /** Ends idle connections, and the others with their next answer. */
     public void drain() {
         stopping.set(true);
+        connections.forEach(CallerConnection::closeIfIdle);
     }
 
     private void accept() {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
@@ -38,6 +38,7 @@
             Http1Config.custom().setBufferSize(BUFFER_BYTES).setMaxHeaderCount(100).build();
 
     private final EndpointState endpoint;
+    private final Socket socket;
     private final DefaultBHttpClientConnection connection;
     private final MillisClock clock;
     private ClassicHttpResponse response;
@@ -48,8 +49,12 @@
     private long idleSinceMs;
 
     private UpstreamConnection(
-            EndpointState endpoint, DefaultBHttpClientConnection connection, MillisClock clock) {
+            EndpointState endpoint,
+            Socket socket,
+            DefaultBHttpClientConnection connection,
+            MillisClock clock) {
         this.endpoint = endpoint;
+        this.socket = socket;
         this.connection = connection;
         this.clock = clock;
     }
@@ -81,7 +86,7 @@
                     (int) Math.max(1, timeoutMs));
             DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(CONFIG);
             connection.bind(socket);
-            return new UpstreamConnection(endpoint, connection, clock);
+            return new UpstreamConnection(endpoint, socket, connection, clock);
         } catch (IOException | RuntimeException e) {
             closeQuietly(socket);
             throw new UpstreamException(
@@ -240,7 +245,7 @@
         }
         try {
             // Bytes after a complete answer belong to no request.
-            return connection.isStale() || connection.isDataAvailable(Timeout.ofMilliseconds(1));
+            return socket.getInputStream().available() > 0 || connection.isStale();
         } catch (IOException e) {
             return true;
         }
