--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
@@ -37,6 +37,7 @@
     private OptionalLong lastEventId;
     private Optional<Reply> lastReply = Optional.empty();
     private int sent;
+    private boolean moved;
     private int unreachable;
     private long progressAtMs;
     private long startedAtMs;
@@ -114,6 +115,7 @@
         if (events.isEmpty() && !current.hasEnded()) {
             checkWait();
         } else {
+            logPause();
             if (firstAnswer == null) {
                 firstAnswer = current.answer().orElseThrow();
             }
@@ -122,6 +124,29 @@
         return events;
     }
 
+    private void logPause() {
+        long pauseMs = context.clock().nowMs() - progressAtMs;
+        boolean tooLong = firstAnswer != null && pauseMs > request.route().gapTargetMs();
+        if (moved || tooLong) {
+            LOG.info(
+                    "SAP1919",
+                    "A stream goes on after a pause",
+                    "request",
+                    request.id(),
+                    "endpoint",
+                    current.endpoint().id(),
+                    "moved",
+                    moved,
+                    "fromCopy",
+                    current.start().fromCopy(),
+                    "pauseMs",
+                    pauseMs,
+                    "lastEvent",
+                    lastEventId);
+        }
+        moved = false;
+    }
+
     /** Leaves out events that the caller has. */
     private List<EventParser.Event> fresh(List<EventParser.Event> events) {
         List<EventParser.Event> fresh =
@@ -251,6 +276,7 @@
                 "cause",
                 cause.getMessage());
         standby = current.start().standby();
+        moved = true;
         lastReply = Optional.of(Reply.outcomeUnknown("the endpoint broke off"));
         current.close();
         current = null;
