Explain a request from the logs, and serve metrics of the relay

sapphire explain ID reads log files of many instances and prints the decisions about one request in the order of time. Metrics: requests by status, attempts by reason, refusals, resume latency, version of the plan, known endpoints.

--- a/sapphire-cli/src/main/java/io/sapphirestack/cli/SapphireCli.java
+++ b/sapphire-cli/src/main/java/io/sapphirestack/cli/SapphireCli.java
@@ -140,6 +140,7 @@
         FleetCommands.register(commands);
         CallerCommands.register(commands);
         ReportCommands.register(commands);
+        ExplainCommand.register(commands);
         return parser;
     }
 }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -36,6 +36,7 @@
 import io.sapphirestack.runtime.endpoint.SpreadSources;
 import io.sapphirestack.runtime.error.ServiceException;
 import io.sapphirestack.runtime.metrics.EventLog;
+import io.sapphirestack.runtime.metrics.Metrics;
 import io.sapphirestack.runtime.relay.RelayContext;
 import io.sapphirestack.runtime.relay.RelayHeaders;
 import io.sapphirestack.runtime.relay.RelayListener;
@@ -73,6 +74,7 @@
     private final MillisClock clock = MillisClock.monotonic();
     private final Blackboard blackboard = Blackboard.create();
     private final SpreadParts spreadParts = SpreadParts.create();
+    private final Metrics metrics = new Metrics();
     private final SecureRandom random = new SecureRandom();
     private final ScheduledThreadPoolExecutor scheduler;
     private final PeerTransport transport;
@@ -133,6 +135,7 @@
                         relay,
                         this::callerLimits,
                         clock);
+        registerGauges();
         this.watcher = watcher();
         this.lifecycle =
                 new RelayLifecycle(
@@ -214,9 +217,29 @@
                 health,
                 inFlight,
                 new RepeatBudget(settings.repeats(), this::liveInstances, clock),
+                metrics,
                 clock);
     }
 
+    private void registerGauges() {
+        metrics.gauge(
+                "sapphire_traffic_plan_version",
+                "Version of the traffic plan in force, 0 for none.",
+                () -> plans.current().map(TrafficPlan::version).orElse(0L));
+        metrics.gauge(
+                "sapphire_endpoints_known",
+                "Endpoints that this instance knows.",
+                () -> blackboard.endpoints().read().byId().size());
+        metrics.gauge(
+                "sapphire_caller_connections",
+                "Open connections of callers.",
+                callers::openConnections);
+        metrics.gauge(
+                "sapphire_peer_transferred_bytes",
+                "Bytes sent to and received from other instances.",
+                () -> listener.loop().transferredBytes());
+    }
+
     private int workAt(EndpointState endpoint) {
         return inFlight.inFlight(endpoint.id())
                 + spreadParts.inFlight().read().of(endpoint.id(), endpoint.epochMs());
@@ -317,6 +340,11 @@
         return blackboard.readiness().read() == Readiness.READY;
     }
 
+    /** Returns the metrics of this instance. */
+    public Metrics metrics() {
+        return metrics;
+    }
+
     /** Returns the clock of this instance. */
     public MillisClock clock() {
         return clock;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -113,6 +113,7 @@
                     attempts.sent == 0 ? STEP_CONNECT : "repeat", endpoint.address());
         }
         context.health().chosen(endpoint.id());
+        context.metrics().attempt(attempts.sent == 0 ? "first" : "repeat");
         UpstreamConnection connection = pool.take(endpoint, leftMs);
         try (DispatchPermit permit = context.inFlight().begin(endpoint.id())) {
             connection.send(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -7,6 +7,7 @@
 import io.sapphirestack.core.routing.EndpointTable;
 import io.sapphirestack.core.routing.InFlightTracker;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.metrics.Metrics;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -21,6 +22,7 @@
  * @param health outcomes of own requests
  * @param inFlight own work by endpoint
  * @param budget bounds repeats
+ * @param metrics counts requests, attempts, refusals and resumes
  * @param clock monotonic clock
  */
 public record RelayContext(
@@ -31,6 +33,7 @@
         EndpointHealth health,
         InFlightTracker inFlight,
         RepeatBudget budget,
+        Metrics metrics,
         MillisClock clock) {
 
     /** Checks the components. */
@@ -42,6 +45,7 @@
         Objects.requireNonNull(health, "health");
         Objects.requireNonNull(inFlight, "inFlight");
         Objects.requireNonNull(budget, "budget");
+        Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(clock, "clock");
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
@@ -127,6 +127,9 @@
     private void logPause() {
         long pauseMs = context.clock().nowMs() - progressAtMs;
         boolean tooLong = firstAnswer != null && pauseMs > request.route().gapTargetMs();
+        if (moved) {
+            context.metrics().resumed(pauseMs);
+        }
         if (moved || tooLong) {
             LOG.info(
                     "SAP1919",
@@ -212,6 +215,7 @@
                         : Optional.empty();
         sent++;
         startedAtMs = context.clock().nowMs();
+        context.metrics().attempt(attemptReason(copy.isPresent()));
         LOG.info(
                 "SAP1914",
                 "A stream was placed",
@@ -237,6 +241,13 @@
         }
     }
 
+    private String attemptReason(boolean fromCopy) {
+        if (sent == 1) {
+            return "first";
+        }
+        return fromCopy ? "resume_from_copy" : "resume_by_reading";
+    }
+
     private UpstreamConnection connect(EndpointState endpoint) throws ServiceException {
         context.health().chosen(endpoint.id());
         try {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -59,7 +59,7 @@
     public void handle(Exchange exchange) throws IOException {
         open.incrementAndGet();
         try {
-            admit(exchange);
+            admit(new CountedExchange(exchange, context));
         } finally {
             open.decrementAndGet();
         }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayWorld.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayWorld.java
@@ -15,6 +15,7 @@
 import io.sapphirestack.core.routing.InFlightTracker;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.error.ServiceException;
+import io.sapphirestack.runtime.metrics.Metrics;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -62,6 +63,7 @@
                                 inFlight,
                                 new RepeatBudget(
                                         new RepeatBudget.Settings(1, 10, 10_000), () -> 1, clock),
+                                new Metrics(),
                                 clock));
         listener =
                 new RelayListener(
