--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/BoundedLogHandler.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/BoundedLogHandler.java
@@ -8,13 +8,13 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
 import java.util.logging.Handler;
-import java.util.logging.Level;
 import java.util.logging.LogRecord;
 
 /**
  * Writes log lines on a thread of its own, so that no request waits for the output. Lines beyond
- * the bound are dropped, and their number is written with the next line.
+ * the bound are dropped and counted.
  */
 final class BoundedLogHandler extends Handler {
 
@@ -24,17 +24,25 @@
     private static final int QUEUE_LINES = 1_000;
     private static final long FLUSH_LIMIT_MS = 500;
     private static final long SECOND_MS = 1_000;
-    private static final String DROPPED = "SAP1312 Log lines were dropped {\"count\":%d}";
 
     private final PrintStream out;
     private final MillisClock clock;
+    private final LongConsumer droppedReport;
     private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final AtomicLong dropped = new AtomicLong();
     private final AtomicLong unwritten = new AtomicLong();
     private long secondSinceMs;
     private int linesInSecond;
 
-    BoundedLogHandler(PrintStream out, MillisClock clock) {
+    /**
+     * Creates a handler and starts its thread.
+     *
+     * @param out where the lines go
+     * @param clock monotonic clock
+     * @param droppedReport takes the number of lines that were dropped since its last call
+     */
+    BoundedLogHandler(PrintStream out, MillisClock clock, LongConsumer droppedReport) {
+        this.droppedReport = Objects.requireNonNull(droppedReport, "droppedReport");
         this.out = Objects.requireNonNull(out, "out");
         this.clock = Objects.requireNonNull(clock, "clock");
         setFormatter(new LogLineFormatter());
@@ -67,14 +75,13 @@
         try {
             while (true) {
                 LogRecord record = queue.take();
-                long lost = dropped.getAndSet(0);
-                if (lost > 0) {
-                    String text = String.format(DROPPED, lost);
-                    out.print(getFormatter().format(new LogRecord(Level.WARNING, text)));
-                }
                 out.print(getFormatter().format(record));
                 out.flush();
                 unwritten.decrementAndGet();
+                long lost = dropped.getAndSet(0);
+                if (lost > 0) {
+                    droppedReport.accept(lost);
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.daemon;
 
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.metrics.EventLog;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
@@ -25,7 +26,9 @@
             root.removeHandler(handler);
         }
         Level level = Boolean.getBoolean("sapphire.debug") ? Level.FINE : Level.INFO;
-        BoundedLogHandler handler = new BoundedLogHandler(System.out, MillisClock.monotonic());
+        BoundedLogHandler handler =
+                new BoundedLogHandler(
+                        System.out, MillisClock.monotonic(), DaemonLogManager::reportDropped);
         handler.setLevel(level);
         root.addHandler(handler);
         root.setLevel(Level.INFO);
@@ -37,6 +40,11 @@
         // Called by the shutdown hook of the JDK and once at start, when there is nothing to reset.
     }
 
+    private static void reportDropped(long count) {
+        EventLog log = EventLog.of(DaemonLogManager.class);
+        log.warn("SAP1312", "Log lines were dropped", "count", count);
+    }
+
     /** Waits for a short time until all events are written; called before the process ends. */
     public static void flush() {
         for (Handler handler : Logger.getLogger("").getHandlers()) {
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/BoundedLogHandlerTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/BoundedLogHandlerTests.java
@@ -24,8 +24,9 @@
     void linesBeyondTheBoundAreDroppedAndCounted() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         AtomicLong nowMs = new AtomicLong(10_000);
+        AtomicLong reported = new AtomicLong();
         PrintStream out = new PrintStream(bytes, false, StandardCharsets.UTF_8);
-        BoundedLogHandler handler = new BoundedLogHandler(out, nowMs::get);
+        BoundedLogHandler handler = new BoundedLogHandler(out, nowMs::get, reported::addAndGet);
         int extra = 20;
         for (int i = 0; i < BoundedLogHandler.MAX_LINES_PER_S + extra; i++) {
             handler.publish(line(i));
@@ -36,7 +37,7 @@
         String text = bytes.toString(StandardCharsets.UTF_8);
         assertThat(text.lines().filter(l -> l.contains("SAP1201")).count())
                 .isEqualTo(BoundedLogHandler.MAX_LINES_PER_S + 1L);
-        assertThat(text.lines().filter(l -> l.contains("SAP1312"))).hasSizeGreaterThanOrEqualTo(1);
+        assertThat(reported.get()).isEqualTo(extra);
     }
 
     @Test
@@ -54,7 +55,7 @@
                     }
                 };
         AtomicLong nowMs = new AtomicLong();
-        BoundedLogHandler handler = new BoundedLogHandler(blocked, nowMs::get);
+        BoundedLogHandler handler = new BoundedLogHandler(blocked, nowMs::get, count -> {});
         for (int second = 0; second < 10; second++) {
             nowMs.addAndGet(1_000);
             for (int i = 0; i < BoundedLogHandler.MAX_LINES_PER_S; i++) {
