--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/TrafficPlanTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/TrafficPlanTests.java
@@ -14,7 +14,7 @@
 class TrafficPlanTests {
 
     private static final List<RelayedService> SERVICES =
-            List.of(new RelayedService("a", 10, 0, false), new RelayedService("b", 10, 0, true));
+            List.of(new RelayedService("a", false), new RelayedService("b", true));
 
     private static TrafficRoute route(String prefix, long timeoutMs, TrafficRoute.Target... to) {
         return new TrafficRoute(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -22,6 +22,8 @@
     /** When a caller may come back if no endpoint can be reached, in milliseconds. */
     private static final long UNREACHABLE_RETRY_MS = 300;
 
+    private static final String STEP_CONNECT = "connect";
+
     private final RelayContext context;
     private final UpstreamPool pool;
 
@@ -103,8 +105,6 @@
         }
     }
 
-    private static final String STEP_CONNECT = "connect";
-
     private Outcome send(RelayedRequest request, EndpointState endpoint, Attempts attempts)
             throws ServiceException {
         long leftMs = request.remainingMs(context.clock());
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
@@ -12,7 +12,6 @@
  * @param key key of the caller; never passed on
  * @param account client account of the caller, set by this system
  * @param expectedEndpoint endpoint that a request is meant for; any other one refuses it
- * @param promptParts identifies the prompt of a generation
  * @param lastEventId last event that the receiver of a stream has
  * @param seal proof of the endpoint that an answer is its own
  * @param notRun marks an answer of an endpoint that did not run the request
@@ -26,7 +25,6 @@
         String key,
         String account,
         String expectedEndpoint,
-        String promptParts,
         String lastEventId,
         String seal,
         String notRun,
@@ -42,7 +40,6 @@
                     "Sapphire-Key",
                     "Sapphire-Account",
                     "Sapphire-Endpoint",
-                    "Sapphire-Prompt",
                     "Last-Event-ID",
                     "Sapphire-Seal",
                     "Sapphire-Not-Run",
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
@@ -16,8 +16,7 @@
  * @param route route that selects it
  * @param service service that it is sent to
  * @param account account of the caller, empty on a route that needs no key
- * @param callerDeadlineAtMs when the caller stops waiting, on the monotonic clock
- * @param deadlineAtMs when its time is over, also by the route, on the monotonic clock
+ * @param deadlineAtMs when its time is over, by the caller and by the route, on the monotonic clock
  * @param headers names of header fields
  */
 record RelayedRequest(
@@ -26,7 +25,6 @@
         TrafficRoute route,
         RelayedService service,
         Optional<String> account,
-        long callerDeadlineAtMs,
         long deadlineAtMs,
         RelayHeaders headers) {
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -106,7 +106,6 @@
                 route,
                 service,
                 account.map(RelayedAccount::name),
-                exchange.receivedAtMs() + callerMs,
                 exchange.receivedAtMs() + Math.min(callerMs, route.timeoutMs()),
                 headers);
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayWorld.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayWorld.java
@@ -81,7 +81,7 @@
                                         route("/read/", RequestKind.IDEMPOTENT, 2),
                                         route("/order/", RequestKind.NON_IDEMPOTENT, 2),
                                         route("/stream/", RequestKind.RESUMABLE_STREAM, 4)),
-                                List.of(new RelayedService("scribe", 10, 1_000, true)),
+                                List.of(new RelayedService("scribe", true)),
                                 List.of(new RelayedAccount("shop", List.of("k1"))),
                                 CallerLimits.DEFAULT)));
         return this;
