End a stream at its deadline although its events still arrive

Cause: the deadline was only checked while the endpoint was silent, so a stream outlived the timeout of its route as long as events came.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
@@ -111,6 +111,7 @@
                 return List.of();
             }
         }
+        checkDeadline();
         List<EventParser.Event> events = fresh(current.poll());
         if (events.isEmpty() && !current.hasEnded()) {
             checkWait();
@@ -164,12 +165,17 @@
         return fresh;
     }
 
+    /** Ends a stream whose time is over although its events still arrive. */
+    private void checkDeadline() throws RelayTimeoutException {
+        if (request.remainingMs(context.clock()) <= 0) {
+            throw new RelayTimeoutException("stream", current.endpoint().address());
+        }
+    }
+
     private void checkWait() throws ServiceException {
+        checkDeadline();
         long nowMs = context.clock().nowMs();
         String peer = current.endpoint().address();
-        if (request.deadlineAtMs() <= nowMs) {
-            throw new RelayTimeoutException("stream", peer);
-        }
         if (nowMs - callerCheckedAtMs >= CALLER_CHECK_MS) {
             callerCheckedAtMs = nowMs;
             request.check(context.clock(), peer);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -313,6 +313,32 @@
         }
     }
 
+    @Test
+    void streamEndsAtItsDeadlineAlthoughEventsStillArrive() throws Exception {
+        try (ScriptedEndpoint only =
+                        new ScriptedEndpoint(
+                                "e1",
+                                "z1",
+                                (request, socket, out) -> {
+                                    write(out, streamHeader(request, "first"));
+                                    for (long number = 1; ; number++) {
+                                        write(out, event(number));
+                                        Thread.currentThread().join(10);
+                                    }
+                                });
+                RelayWorld world = new RelayWorld(only).withPlan()) {
+            String answer =
+                    world.call(
+                            RelayWorld.request(
+                                    "POST",
+                                    "/stream/",
+                                    "Connection: close\r\nSapphire-Deadline-Ms: 400\r\n",
+                                    "p"));
+            assertThat(dataOf(answer)).startsWith("e1e2e3");
+            assertThat(answer).doesNotEndWith("0\r\n\r\n");
+        }
+    }
+
     @Test
     void callerThatLeavesEndsTheWorkOfTheEndpoint() throws Exception {
         CountDownLatch started = new CountDownLatch(1);
