Let requests wait while a started instance learns the plan and the endpoints

Cause: after the final fault every instance answered 503 for about a second until it knew the plan, and further ones until it knew endpoints. Change: in the first 3 s of an instance a request waits up to a tenth of its caller's time, at most 2 s, for the plan and the endpoints; a stream also waits until the list of endpoints stops growing, so that all endpoints share the first streams. Later an unknown endpoint is refused at once as before.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -26,10 +26,12 @@
 
     private final RelayContext context;
     private final UpstreamPool pool;
+    private final StartupWait startup;
 
-    PlainRelay(RelayContext context, UpstreamPool pool) {
+    PlainRelay(RelayContext context, UpstreamPool pool, StartupWait startup) {
         this.context = context;
         this.pool = pool;
+        this.startup = startup;
     }
 
     /** What an endpoint said to one attempt. */
@@ -57,7 +59,8 @@
             Optional<EndpointState> endpoint =
                     context.placement()
                             .choose(
-                                    context.endpoints().get().ofService(request.service().name()),
+                                    startup.awaitEndpoints(
+                                            request, () -> endpoints(request), false),
                                     attempts.tried);
             if (endpoint.isEmpty()) {
                 return attempts.last.orElseGet(
@@ -70,6 +73,10 @@
         }
     }
 
+    private List<EndpointState> endpoints(RelayedRequest request) {
+        return context.endpoints().get().ofService(request.service().name());
+    }
+
     /** Makes one attempt; returns the final answer, or empty if another attempt is due. */
     private Optional<Reply> attempt(
             RelayedRequest request, EndpointState endpoint, Attempts attempts)
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
@@ -16,10 +16,12 @@
 
     private final RelayContext context;
     private final UpstreamPool pool;
+    private final StartupWait startup;
 
-    StreamRelay(RelayContext context, UpstreamPool pool) {
+    StreamRelay(RelayContext context, UpstreamPool pool, StartupWait startup) {
         this.context = context;
         this.pool = pool;
+        this.startup = startup;
     }
 
     /**
@@ -31,7 +33,7 @@
      */
     void relay(RelayedRequest request) throws IOException, CallerGoneException {
         context.budget().recordRequest(request.service().name());
-        try (StreamRun run = new StreamRun(context, pool, request)) {
+        try (StreamRun run = new StreamRun(context, pool, startup, request)) {
             List<EventParser.Event> first;
             try {
                 first = run.next();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 /** One stream over all its attempts. Used by one thread. */
 final class StreamRun implements AutoCloseable {
@@ -29,6 +30,7 @@
 
     private final RelayContext context;
     private final UpstreamPool pool;
+    private final StartupWait startup;
     private final RelayedRequest request;
     private final List<EndpointState> failed = new ArrayList<>();
     private StreamAttempt current;
@@ -44,9 +46,11 @@
     private long probedAtMs;
     private long callerCheckedAtMs;
 
-    StreamRun(RelayContext context, UpstreamPool pool, RelayedRequest request) {
+    StreamRun(
+            RelayContext context, UpstreamPool pool, StartupWait startup, RelayedRequest request) {
         this.context = context;
         this.pool = pool;
+        this.startup = startup;
         this.request = request;
         this.lastEventId =
                 request.exchange()
@@ -202,8 +206,7 @@
     }
 
     private void start() throws ServiceException {
-        List<EndpointState> candidates =
-                context.endpoints().get().ofService(request.service().name());
+        List<EndpointState> candidates = candidates();
         Optional<EndpointState> copy =
                 standby.flatMap(held -> candidates.stream().filter(held::isSameLife).findFirst());
         standby = Optional.empty();
@@ -247,6 +250,12 @@
         }
     }
 
+    private List<EndpointState> candidates() throws CallerGoneException {
+        Supplier<List<EndpointState>> known =
+                () -> context.endpoints().get().ofService(request.service().name());
+        return sent == 0 ? startup.awaitEndpoints(request, known, true) : known.get();
+    }
+
     private String attemptReason(boolean fromCopy) {
         if (sent == 1) {
             return "first";
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -18,10 +19,11 @@
     private static final EventLog LOG = EventLog.of(TrafficRelay.class);
 
     /** When a caller may come back to an instance that does not serve yet or no longer. */
-    private static final long NOT_SERVING_RETRY_MS = 200;
+    private static final long NOT_SERVING_RETRY_MS = 400;
 
     private final RelayContext context;
     private final UpstreamPool pool;
+    private final StartupWait startup;
     private final PlainRelay plain;
     private final StreamRelay streams;
     private final AtomicBoolean refusing = new AtomicBoolean();
@@ -35,8 +37,9 @@
     public TrafficRelay(RelayContext context) {
         this.context = Objects.requireNonNull(context, "context");
         this.pool = new UpstreamPool(context.clock());
-        this.plain = new PlainRelay(context, pool);
-        this.streams = new StreamRelay(context, pool);
+        this.startup = new StartupWait(context.clock(), refusing::get);
+        this.plain = new PlainRelay(context, pool, startup);
+        this.streams = new StreamRelay(context, pool, startup);
     }
 
     /** Refuses new requests as not run from now on. */
@@ -66,7 +69,8 @@
     }
 
     private void admit(Exchange exchange) throws IOException {
-        Optional<TrafficPlan> plan = context.plan().get();
+        OptionalLong callerMs = callerMs(exchange);
+        Optional<TrafficPlan> plan = awaitPlan(exchange, callerMs.orElse(0));
         if (plan.isEmpty() || refusing.get()) {
             send(exchange, Reply.notRun("the instance does not serve now", NOT_SERVING_RETRY_MS));
             return;
@@ -83,30 +87,43 @@
             send(exchange, Reply.own(401, "the key is unknown"));
             return;
         }
-        relay(admitted(exchange, plan.get(), route.get(), account));
+        relay(admitted(exchange, plan.get(), route.get(), account, callerMs));
+    }
+
+    private Optional<TrafficPlan> awaitPlan(Exchange exchange, long callerMs) throws IOException {
+        try {
+            return startup.await(exchange, callerMs, context.plan());
+        } catch (CallerGoneException e) {
+            throw new IOException("the caller has left", e);
+        }
+    }
+
+    /** Returns the time that the caller gives its request, if it says so. */
+    private OptionalLong callerMs(Exchange exchange) {
+        return exchange.header(context.headers().deadlineMs()).stream()
+                .filter(value -> value.matches("[0-9]{1,12}"))
+                .mapToLong(Long::parseLong)
+                .findFirst();
     }
 
     private RelayedRequest admitted(
             Exchange exchange,
             TrafficPlan plan,
             TrafficRoute route,
-            Optional<RelayedAccount> account) {
+            Optional<RelayedAccount> account,
+            OptionalLong callerMs) {
         RelayHeaders headers = context.headers();
         RelayedService service =
                 plan.service(route.pickService(ThreadLocalRandom.current().nextDouble()))
                         .orElseThrow();
-        long callerMs =
-                exchange.header(headers.deadlineMs())
-                        .filter(value -> value.matches("[0-9]{1,12}"))
-                        .map(Long::parseLong)
-                        .orElse(route.timeoutMs());
         return new RelayedRequest(
                 exchange,
                 exchange.header(headers.requestId()).orElse(""),
                 route,
                 service,
                 account.map(RelayedAccount::name),
-                exchange.receivedAtMs() + Math.min(callerMs, route.timeoutMs()),
+                exchange.receivedAtMs()
+                        + Math.min(callerMs.orElse(route.timeoutMs()), route.timeoutMs()),
                 headers);
     }
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayWorld.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayWorld.java
@@ -21,9 +21,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -38,15 +41,18 @@
     private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
     private final AtomicReference<Optional<TrafficPlan>> plan =
             new AtomicReference<>(Optional.empty());
+    private final EndpointTable table;
+    private final AtomicReference<EndpointTable> known;
     private final TrafficRelay relay;
     private final RelayListener listener;
 
     RelayWorld(ScriptedEndpoint... endpoints) throws ServiceException {
-        EndpointTable table =
+        table =
                 new EndpointTable(
                         Stream.of(endpoints)
                                 .map(ScriptedEndpoint::state)
                                 .collect(Collectors.toMap(EndpointState::id, Function.identity())));
+        known = new AtomicReference<>(table);
         EndpointHealth health = new EndpointHealth(clock);
         InFlightTracker inFlight = new InFlightTracker(clock);
         // The endpoint with the lowest name in the own zone comes first.
@@ -57,7 +63,7 @@
                         new RelayContext(
                                 RelayHeaders.DEFAULT,
                                 plan::get,
-                                () -> table,
+                                known::get,
                                 placement,
                                 health,
                                 inFlight,
@@ -87,6 +93,23 @@
         return this;
     }
 
+    /** Forgets the endpoints, as an instance that has just started. */
+    RelayWorld withoutEndpoints() {
+        known.set(new EndpointTable(Map.of()));
+        return this;
+    }
+
+    /** Runs a step after a time, beside the calls of the test. */
+    void later(long delayMs, Callable<?> step) {
+        scheduler.schedule(step, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Makes the endpoints known again. */
+    RelayWorld withEndpoints() {
+        known.set(table);
+        return this;
+    }
+
     private static TrafficRoute route(String prefix, RequestKind kind, int maxAttempts) {
         return new TrafficRoute(
                 prefix,
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -176,6 +176,47 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"/read/", "/order/", "/stream/"})
+    void requestWaitsForThePlanAndTheEndpointsOfAStartedInstance(String path) throws Exception {
+        try (ScriptedEndpoint endpoint =
+                        new ScriptedEndpoint(
+                                "e1",
+                                "z1",
+                                (request, socket, out) ->
+                                        write(
+                                                out,
+                                                streamHeader(request, "s")
+                                                        + event(1)
+                                                        + "0\r\n\r\n"));
+                RelayWorld world = new RelayWorld(endpoint).withoutEndpoints()) {
+            world.later(100, world::withPlan);
+            world.later(200, world::withEndpoints);
+            String fields = "Connection: close\r\nSapphire-Deadline-Ms: 9000\r\n";
+            String answer = world.call(RelayWorld.request("POST", path, fields, "p"));
+            assertThat(answer).startsWith("HTTP/1.1 200");
+            assertThat(dataOf(answer)).isEqualTo("e1");
+            assertThat(endpoint.received()).hasSize(1);
+        }
+    }
+
+    @Test
+    void instanceThatStopsWhileARequestWaitsSaysThatNothingRan() throws Exception {
+        try (RelayWorld world = new RelayWorld()) {
+            world.later(
+                    100,
+                    () -> {
+                        world.relay().refuse();
+                        return null;
+                    });
+            String fields = "Connection: close\r\nSapphire-Deadline-Ms: 20000\r\n";
+            long beforeMs = System.nanoTime() / 1_000_000;
+            String answer = world.call(RelayWorld.request("POST", "/order/", fields, "p"));
+            assertThat(answer).startsWith("HTTP/1.1 503");
+            assertThat(System.nanoTime() / 1_000_000 - beforeMs).isLessThan(1_500);
+        }
+    }
+
     @Test
     void streamContinuesFromItsCopyWithinTheSameAnswer() throws Exception {
         try (ScriptedEndpoint first =
