Weigh prompts, running streams and copies differently when placing

Cause: a standby copy, a running stream and a prompt that is being read counted alike. Prompts also slow the streams beside them. Change: work in flight carries a weight, and the random part of a cost grows with the work that is placed, so that instances which see each other's placements late do not meet.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
-import java.util.function.ToIntFunction;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -18,18 +18,18 @@
  *
  * <p>The cost of an endpoint is its work in flight relative to its slots, raised by errors that it
  * answered lately. Many instances decide at the same moment on the same reports, so each adds a
- * random part of one piece of work to every cost and they do not all meet at one endpoint.
+ * random part of the work that it places to every cost and they do not all meet at one endpoint.
  */
 public final class RelayPlacement {
 
-    /** Cost of crossing availability zones, in pieces of work. */
+    /** Cost of crossing availability zones, in requests. */
     static final double OTHER_ZONE_COST = 0.5;
 
     /** Cost of an endpoint whose answers all fail, in shares of all slots of an endpoint. */
     static final double ERROR_COST = 3.0;
 
     private final String zone;
-    private final ToIntFunction<EndpointState> work;
+    private final ToDoubleFunction<EndpointState> work;
     private final EndpointHealth health;
     private final DoubleSupplier random;
 
@@ -37,13 +37,13 @@
      * Creates a strategy.
      *
      * @param zone availability zone of this instance
-     * @param work returns the work of the whole fleet in flight at an endpoint
+     * @param work returns the work of the whole fleet in flight at an endpoint, in requests
      * @param health outcomes of own requests
      * @param random returns numbers from 0 (inclusive) to 1 (exclusive)
      */
     public RelayPlacement(
             String zone,
-            ToIntFunction<EndpointState> work,
+            ToDoubleFunction<EndpointState> work,
             EndpointHealth health,
             DoubleSupplier random) {
         this.zone = Objects.requireNonNull(zone, "zone");
@@ -56,18 +56,20 @@
      * Chooses where a request runs. The endpoints of one availability zone often fail together, so
      * zones in which this request has failed come last.
      *
+     * @param work what the request will cost its endpoint
      * @param candidates endpoints of its service that take new work
      * @param failed endpoints at which this request has failed; used only if there is no other
      * @return the endpoint, or empty if there is no candidate
      */
     public Optional<EndpointState> choose(
-            List<EndpointState> candidates, Collection<EndpointState> failed) {
+            RelayedWork work, List<EndpointState> candidates, Collection<EndpointState> failed) {
         Set<EndpointId> ids = idsOf(failed);
         Set<String> zones = zonesOf(failed);
-        return best(candidates, e -> !zones.contains(e.availabilityZone()) && isFresh(e, ids))
-                .or(() -> best(candidates, e -> isFresh(e, ids)))
-                .or(() -> best(candidates, e -> !ids.contains(e.id())))
-                .or(() -> best(candidates, e -> true));
+        Predicate<EndpointState> fresh = e -> isFresh(e, ids);
+        return best(work, candidates, fresh.and(e -> !zones.contains(e.availabilityZone())))
+                .or(() -> best(work, candidates, fresh))
+                .or(() -> best(work, candidates, e -> !ids.contains(e.id())))
+                .or(() -> best(work, candidates, e -> true));
     }
 
     /**
@@ -87,8 +89,12 @@
         Set<String> zones = zonesOf(failed);
         Predicate<EndpointState> elsewhere =
                 e -> !e.availabilityZone().equals(running.availabilityZone()) && isFresh(e, ids);
-        return best(candidates, elsewhere.and(e -> !zones.contains(e.availabilityZone())))
-                .or(() -> best(candidates, elsewhere));
+        // A copy that is used turns into a running stream, so copies spread as prompts do.
+        return best(
+                        RelayedWork.PROMPT,
+                        candidates,
+                        elsewhere.and(e -> !zones.contains(e.availabilityZone())))
+                .or(() -> best(RelayedWork.PROMPT, candidates, elsewhere));
     }
 
     private boolean isFresh(EndpointState endpoint, Set<EndpointId> failed) {
@@ -104,20 +110,21 @@
     }
 
     private Optional<EndpointState> best(
-            List<EndpointState> candidates, Predicate<EndpointState> allowed) {
+            RelayedWork placed, List<EndpointState> candidates, Predicate<EndpointState> allowed) {
+        double spread = RelayedWork.toRequests(placed.units());
         return candidates.stream()
                 .filter(allowed)
-                .map(endpoint -> new Costed(endpoint, cost(endpoint)))
+                .map(endpoint -> new Costed(endpoint, cost(endpoint, spread)))
                 .min(Comparator.comparingDouble(Costed::cost))
                 .map(Costed::endpoint);
     }
 
     private record Costed(EndpointState endpoint, double cost) {}
 
-    private double cost(EndpointState endpoint) {
+    private double cost(EndpointState endpoint, double spread) {
         double slots = Math.max(1, endpoint.load().slots());
         double zoneCost = endpoint.availabilityZone().equals(zone) ? 0 : OTHER_ZONE_COST;
-        return (work.applyAsInt(endpoint) + zoneCost + random.getAsDouble()) / slots
+        return (work.applyAsDouble(endpoint) + zoneCost + spread * random.getAsDouble()) / slots
                 + ERROR_COST * health.errorRate(endpoint.id());
     }
 }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/routing/InFlightTracker.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/InFlightTracker.java
@@ -48,14 +48,25 @@
      * @return permit that ends the work once, however often it is closed
      */
     public DispatchPermit begin(EndpointId id) {
+        return begin(id, 1);
+    }
+
+    /**
+     * Counts work of a given weight as in flight.
+     *
+     * @param id endpoint that gets it
+     * @param units weight of the work
+     * @return permit that ends the work once, however often it is closed
+     */
+    public DispatchPermit begin(EndpointId id, int units) {
         Counter counter = counters.computeIfAbsent(id, key -> new Counter());
-        counter.inFlight.incrementAndGet();
+        counter.inFlight.addAndGet(units);
         int slot = Math.floorMod(counter.started.getAndIncrement(), RECENT);
         counter.startsMs.setRelease(slot, clock.nowMs());
         AtomicBoolean open = new AtomicBoolean(true);
         return () -> {
             if (open.compareAndSet(true, false)) {
-                counter.inFlight.decrementAndGet();
+                counter.inFlight.addAndGet(-units);
             }
         };
     }
@@ -64,7 +75,7 @@
      * Returns the work in flight to an endpoint.
      *
      * @param id name of the endpoint
-     * @return number of open permits
+     * @return sum of the weights of open permits
      */
     public int inFlight(EndpointId id) {
         Counter counter = counters.get(id);
--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/RelayPlacementTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/RelayPlacementTests.java
@@ -54,7 +54,8 @@
     void workSpreadsOverAllEndpoints() {
         List<EndpointState> fleet = fleet();
         for (int i = 0; i < 48; i++) {
-            EndpointState chosen = placement.choose(fleet, List.of()).orElseThrow();
+            EndpointState chosen =
+                    placement.choose(RelayedWork.REQUEST, fleet, List.of()).orElseThrow();
             work.merge(chosen.id(), 1, Integer::sum);
         }
         assertThat(work.values()).allMatch(count -> count >= 3 && count <= 5);
@@ -65,18 +66,24 @@
         List<EndpointState> two = List.of(endpoint("e1", "z1"), endpoint("e2", "z1"));
         health.unreachable(EndpointId.of("e1"));
         work.put(EndpointId.of("e2"), 100);
-        assertThat(placement.choose(two, List.of()).orElseThrow().id().value()).isEqualTo("e2");
+        assertThat(placement.choose(RelayedWork.REQUEST, two, List.of()).orElseThrow().id().value())
+                .isEqualTo("e2");
         nowMs.addAndGet(EndpointHealth.FIRST_SUSPICION_MS + 1);
-        assertThat(placement.choose(two, List.of()).orElseThrow().id().value()).isEqualTo("e1");
+        assertThat(placement.choose(RelayedWork.REQUEST, two, List.of()).orElseThrow().id().value())
+                .isEqualTo("e1");
         health.chosen(EndpointId.of("e1"));
-        assertThat(placement.choose(two, List.of()).orElseThrow().id().value()).isEqualTo("e2");
+        assertThat(placement.choose(RelayedWork.REQUEST, two, List.of()).orElseThrow().id().value())
+                .isEqualTo("e2");
     }
 
     @Test
     void aZoneInWhichTheRequestFailedComesLast() {
         List<EndpointState> fleet = fleet();
         for (int i = 0; i < 20; i++) {
-            EndpointState next = placement.choose(fleet, List.of(fleet.get(0))).orElseThrow();
+            EndpointState next =
+                    placement
+                            .choose(RelayedWork.REQUEST, fleet, List.of(fleet.get(0)))
+                            .orElseThrow();
             assertThat(next.availabilityZone()).isNotEqualTo("z1");
         }
     }
@@ -85,8 +92,9 @@
     void theOnlyEndpointIsUsedAlthoughItFailed() {
         EndpointState only = endpoint("e1", "z1");
         health.unreachable(only.id());
-        assertThat(placement.choose(List.of(only), List.of(only))).contains(only);
-        assertThat(placement.choose(List.of(), List.of())).isEmpty();
+        assertThat(placement.choose(RelayedWork.REQUEST, List.of(only), List.of(only)))
+                .contains(only);
+        assertThat(placement.choose(RelayedWork.REQUEST, List.of(), List.of())).isEmpty();
     }
 
     @Test
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -11,6 +11,7 @@
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.RelayPlacement;
+import io.sapphirestack.core.relay.RelayedWork;
 import io.sapphirestack.core.relay.RepeatBudget;
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.replication.LogStoreException;
@@ -240,9 +241,9 @@
                 () -> listener.loop().transferredBytes());
     }
 
-    private int workAt(EndpointState endpoint) {
-        return inFlight.inFlight(endpoint.id())
-                + spreadParts.inFlight().read().of(endpoint.id(), endpoint.epochMs());
+    private double workAt(EndpointState endpoint) {
+        int otherUnits = spreadParts.inFlight().read().of(endpoint.id(), endpoint.epochMs());
+        return RelayedWork.toRequests(inFlight.inFlight(endpoint.id()) + otherUnits);
     }
 
     private int liveInstances() {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.relay.RelayedWork;
 import io.sapphirestack.core.routing.DispatchPermit;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.runtime.error.ServiceException;
@@ -59,6 +60,7 @@
             Optional<EndpointState> endpoint =
                     context.placement()
                             .choose(
+                                    RelayedWork.REQUEST,
                                     startup.awaitEndpoints(
                                             request, () -> endpoints(request), false),
                                     attempts.tried);
@@ -122,7 +124,8 @@
         context.health().chosen(endpoint.id());
         context.metrics().attempt(attempts.sent == 0 ? "first" : "repeat");
         UpstreamConnection connection = pool.take(endpoint, leftMs);
-        try (DispatchPermit permit = context.inFlight().begin(endpoint.id())) {
+        try (DispatchPermit permit =
+                context.inFlight().begin(endpoint.id(), RelayedWork.REQUEST.units())) {
             connection.send(
                     request.exchange().method(),
                     request.exchange().target(),
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.relay.RelayedWork;
 import io.sapphirestack.core.routing.DispatchPermit;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.runtime.error.ServiceException;
@@ -13,10 +14,11 @@
 
     private static final int BUFFER_BYTES = 4_096;
 
+    private final RelayContext context;
     private final RelayedRequest request;
     private final UpstreamConnection connection;
     private final Start start;
-    private final DispatchPermit permit;
+    private DispatchPermit permit;
     private final Optional<DispatchPermit> standbyPermit;
     private final EventParser parser = new EventParser();
     private final byte[] buffer = new byte[BUFFER_BYTES];
@@ -25,16 +27,23 @@
     private boolean progress;
 
     private StreamAttempt(
+            RelayContext context,
             RelayedRequest request,
             UpstreamConnection connection,
-            Start start,
-            DispatchPermit permit,
-            Optional<DispatchPermit> standbyPermit) {
+            Start start) {
+        this.context = context;
         this.request = request;
         this.connection = connection;
         this.start = start;
-        this.permit = permit;
-        this.standbyPermit = standbyPermit;
+        this.permit =
+                begin(
+                        start.endpoint(),
+                        start.fromCopy() ? RelayedWork.REQUEST : RelayedWork.PROMPT);
+        this.standbyPermit = start.standby().map(e -> begin(e, RelayedWork.COPY));
+    }
+
+    private DispatchPermit begin(EndpointState endpoint, RelayedWork work) {
+        return context.inFlight().begin(endpoint.id(), work.units());
     }
 
     /**
@@ -57,13 +66,7 @@
             UpstreamConnection connection,
             Start start)
             throws UpstreamException {
-        StreamAttempt attempt =
-                new StreamAttempt(
-                        request,
-                        connection,
-                        start,
-                        context.inFlight().begin(start.endpoint().id()),
-                        start.standby().map(e -> context.inFlight().begin(e.id())));
+        StreamAttempt attempt = new StreamAttempt(context, request, connection, start);
         try {
             connection.send(
                     request.exchange().method(),
@@ -140,7 +143,11 @@
         int read = connection.read(buffer);
         if (read >= 0) {
             List<EventParser.Event> events = parser.feed(buffer, read);
-            progress |= !events.isEmpty();
+            if (!progress && !events.isEmpty()) {
+                progress = true;
+                permit.close();
+                permit = begin(endpoint(), RelayedWork.REQUEST);
+            }
             return events;
         }
         if (parser.isWithinEvent()) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRun.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.relay.RelayedWork;
 import io.sapphirestack.core.relay.StreamPatience;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.runtime.error.ServiceException;
@@ -211,7 +212,7 @@
                 standby.flatMap(held -> candidates.stream().filter(held::isSameLife).findFirst());
         standby = Optional.empty();
         EndpointState endpoint =
-                copy.or(() -> context.placement().choose(candidates, failed))
+                copy.or(() -> context.placement().choose(RelayedWork.PROMPT, candidates, failed))
                         .orElseThrow(() -> ended("local"));
         UpstreamConnection connection = connect(endpoint);
         if (sent > 0 && (!mayMove() || !context.budget().tryRepeat(request.service().name()))) {
