Log requests that a started instance refuses or lets wait

Cause: in both incidents most refusals after the power loss had no log line, because a request that no plan selects was answered without one; explain had nothing to show for its id. Change: SAP1923 names why an instance that does not serve refused a request, SAP1924 tells how long a request waited for endpoints.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StartupWait.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StartupWait.java
@@ -3,6 +3,7 @@
 import io.sapphirestack.core.relay.StartupPatience;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.metrics.EventLog;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -11,6 +12,8 @@
 /** Lets requests wait while a started instance learns what it needs to serve them. Thread-safe. */
 final class StartupWait {
 
+    private static final EventLog LOG = EventLog.of(StartupWait.class);
+
     /** Time between two looks, in milliseconds; short beside the time of a plain request. */
     private static final long LOOK_MS = 15;
 
@@ -75,8 +78,19 @@
         }
         Settling settling = new Settling(all ? SETTLED_MS : 0);
         long callerMs = request.deadlineAtMs() - request.exchange().receivedAtMs();
-        return await(request.exchange(), callerMs, () -> settling.filter(list.get()))
-                .orElseGet(list);
+        List<EndpointState> known =
+                await(request.exchange(), callerMs, () -> settling.filter(list.get()))
+                        .orElseGet(list);
+        LOG.info(
+                "SAP1924",
+                "A request waited for endpoints of a started instance",
+                "request",
+                request.id(),
+                "endpoints",
+                known.size(),
+                "ageMs",
+                clock.nowMs() - request.exchange().receivedAtMs());
+        return known;
     }
 
     /** Shows a list when it has not grown for a time. Used by one thread. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -72,7 +72,7 @@
         OptionalLong callerMs = callerMs(exchange);
         Optional<TrafficPlan> plan = awaitPlan(exchange, callerMs.orElse(0));
         if (plan.isEmpty() || refusing.get()) {
-            send(exchange, Reply.notRun("the instance does not serve now", NOT_SERVING_RETRY_MS));
+            refuse(exchange);
             return;
         }
         Optional<TrafficRoute> route =
@@ -90,6 +90,25 @@
         relay(admitted(exchange, plan.get(), route.get(), account, callerMs));
     }
 
+    private void refuse(Exchange exchange) throws IOException {
+        String reason =
+                refusing.get()
+                        ? "the instance is stopping"
+                        : "the instance knows no traffic plan yet";
+        LOG.info(
+                "SAP1923",
+                "A request was refused as not run",
+                "request",
+                exchange.header(context.headers().requestId()).orElse(""),
+                "reason",
+                reason,
+                "retryAfterMs",
+                NOT_SERVING_RETRY_MS,
+                "ageMs",
+                context.clock().nowMs() - exchange.receivedAtMs());
+        send(exchange, Reply.notRun(reason, NOT_SERVING_RETRY_MS));
+    }
+
     private Optional<TrafficPlan> awaitPlan(Exchange exchange, long callerMs) throws IOException {
         try {
             return startup.await(exchange, callerMs, context.plan());
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -172,7 +172,10 @@
     void instanceWithoutAPlanSaysThatNothingRan() throws Exception {
         try (RelayWorld world = new RelayWorld()) {
             String answer = world.call("GET", "/read/", "");
-            assertThat(answer).startsWith("HTTP/1.1 503").contains("Retry-After");
+            assertThat(answer)
+                    .startsWith("HTTP/1.1 503")
+                    .contains("Retry-After")
+                    .contains("no traffic plan");
         }
     }
 
