Count lost answers as errors of an endpoint and let errors fade

Errors that were counted never faded without a new answer, so an endpoint that failed once could stay avoided. Change: a lost answer enters the moving average of errors; the average halves in 2 s. Guarded by EndpointHealthTests.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/EndpointHealth.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/EndpointHealth.java
@@ -26,7 +26,10 @@
     /** Weight of the newest outcome in the moving average of errors. */
     static final double ERROR_WEIGHT = 0.2;
 
-    private static final Health UNKNOWN = new Health(0, Long.MIN_VALUE, 0);
+    /** Time in which an error loses half of its weight, so that an endpoint is tried again. */
+    static final double ERROR_HALF_LIFE_MS = 2_000;
+
+    private static final Health UNKNOWN = new Health(0, Long.MIN_VALUE, 0, 0);
 
     private final MillisClock clock;
     private final Map<EndpointId, Health> byId = new ConcurrentHashMap<>();
@@ -40,7 +43,18 @@
         this.clock = Objects.requireNonNull(clock, "clock");
     }
 
-    private record Health(int failures, long suspectUntilMs, double errorRate) {}
+    private record Health(int failures, long suspectUntilMs, double errorRate, long errorRateAtMs) {
+
+        double errorRate(long nowMs) {
+            return errorRate * Math.pow(0.5, (nowMs - errorRateAtMs) / ERROR_HALF_LIFE_MS);
+        }
+
+        /** Returns the moving average with one more outcome. */
+        double errorRateAfter(boolean failed, long nowMs) {
+            double rate = errorRate(nowMs);
+            return rate + ERROR_WEIGHT * ((failed ? 1 : 0) - rate);
+        }
+    }
 
     /**
      * Records that an endpoint did not answer: refused or broken connection, or silence.
@@ -56,7 +70,8 @@
                     int failures = Math.min(last.failures() + 1, 16);
                     long suspicionMs =
                             Math.min(LONGEST_SUSPICION_MS, FIRST_SUSPICION_MS << (failures - 1));
-                    return new Health(failures, nowMs + suspicionMs, last.errorRate());
+                    return new Health(
+                            failures, nowMs + suspicionMs, last.errorRateAfter(true, nowMs), nowMs);
                 });
     }
 
@@ -67,12 +82,12 @@
      * @param failed whether the answer says that the endpoint failed
      */
     public void answered(EndpointId id, boolean failed) {
+        long nowMs = clock.nowMs();
         byId.compute(
                 id,
                 (key, old) -> {
-                    double rate = old == null ? 0 : old.errorRate();
-                    double sample = failed ? 1 : 0;
-                    return new Health(0, Long.MIN_VALUE, rate + ERROR_WEIGHT * (sample - rate));
+                    Health last = old == null ? UNKNOWN : old;
+                    return new Health(0, Long.MIN_VALUE, last.errorRateAfter(failed, nowMs), nowMs);
                 });
     }
 
@@ -87,13 +102,13 @@
     }
 
     /**
-     * Returns the moving average of failed answers.
+     * Returns the moving average of failed and lost answers, which fades with time.
      *
      * @param id endpoint
      * @return share of failed answers, 0 to 1
      */
     public double errorRate(EndpointId id) {
-        return byId.getOrDefault(id, UNKNOWN).errorRate();
+        return byId.getOrDefault(id, UNKNOWN).errorRate(clock.nowMs());
     }
 
     /**
@@ -108,7 +123,11 @@
                 id,
                 (key, last) ->
                         last.failures() > 0 && last.suspectUntilMs() <= nowMs
-                                ? new Health(last.failures(), nowMs + TRIAL_MS, last.errorRate())
+                                ? new Health(
+                                        last.failures(),
+                                        nowMs + TRIAL_MS,
+                                        last.errorRate(),
+                                        last.errorRateAtMs())
                                 : last);
     }
 
--- /dev/null
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/EndpointHealthTests.java
@@ -0,0 +1,41 @@
+package io.sapphirestack.core.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import io.sapphirestack.core.id.EndpointId;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** Guards against endpoints that lose answers and are used as often as sound ones. */
+class EndpointHealthTests {
+
+    private static final EndpointId ID = EndpointId.of("e1");
+
+    private final AtomicLong nowMs = new AtomicLong(50_000);
+    private final EndpointHealth health = new EndpointHealth(nowMs::get);
+
+    @Test
+    void lostAnswerCountsAsAnErrorAlsoAfterTheNextAnswer() {
+        health.unreachable(ID);
+        health.answered(ID, false);
+        assertThat(health.isSuspect(ID)).isFalse();
+        assertThat(health.errorRate(ID)).isGreaterThan(0.1);
+    }
+
+    @Test
+    void errorsFadeSoThatAnAvoidedEndpointIsTriedAgain() {
+        health.answered(ID, true);
+        double rate = health.errorRate(ID);
+        nowMs.addAndGet((long) EndpointHealth.ERROR_HALF_LIFE_MS);
+        assertThat(health.errorRate(ID)).isCloseTo(rate / 2, within(1e-9));
+        nowMs.addAndGet(10 * (long) EndpointHealth.ERROR_HALF_LIFE_MS);
+        assertThat(health.errorRate(ID)).isLessThan(0.001);
+    }
+
+    @Test
+    void unknownEndpointHasNoErrors() {
+        assertThat(health.errorRate(ID)).isZero();
+        assertThat(health.isSuspect(ID)).isFalse();
+    }
+}
