--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -10,7 +10,6 @@
 import io.sapphirestack.core.limit.AccountLimiter;
 import io.sapphirestack.core.objective.BurnRecorder;
 import io.sapphirestack.core.record.RecordSpecResolver;
-import io.sapphirestack.core.replication.LogStoreException;
 import io.sapphirestack.core.replication.ReplicationSettings;
 import io.sapphirestack.core.routing.DefaultDispatchGuard;
 import io.sapphirestack.core.routing.DispatchGuard;
@@ -57,7 +56,6 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Composes all parts of one instance. Parts are created in the order of their dependencies and
@@ -88,7 +86,7 @@
     private final ThreadPoolExecutor orderClientThreads;
     private final PeerTransport transport;
     private final DefaultControlClient control;
-    private final Optional<ControlService> voter;
+    private final LocalVoter voter;
     private final StopRecords stopping;
     private final InFlightTracker inFlight;
     private final EndpointRegistry registry;
@@ -115,7 +113,7 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         this.listener = Objects.requireNonNull(listener, "listener");
         this.catalog = new RecordCatalog(blackboard.control()::read, specs);
-        this.scheduler = scheduler();
+        this.scheduler = DaemonThreads.scheduler(SCHEDULER_THREADS);
         this.attemptThreads = WorkerPool.create("attempt", settings.limits().attempts());
         this.orderClientThreads = WorkerPool.create("engine-order", ORDER_CLIENT_THREADS);
         this.transport =
@@ -125,7 +123,7 @@
                         settings.clusterKey(),
                         listener.handlers());
         this.control = new DefaultControlClient(settings.voters(), transport, scheduler, clock);
-        this.voter = settings.dataFolder().map(this::voter);
+        this.voter = new LocalVoter(settings.dataFolder(), this::voter);
         this.stopping = new StopRecords(blackboard.control()::read);
         this.inFlight = new InFlightTracker(clock);
         PrefixIndex prefixes = new PrefixIndex();
@@ -143,7 +141,7 @@
         this.limiter = new AccountLimiter(spreadParts.usage()::read, this::liveInstances, clock);
         this.spread = spread();
         this.generations = generations();
-        this.models = voter.map(this::models);
+        this.models = voter.service().map(this::models);
         this.plainServices =
                 new PlainServices(
                         settings.limits(),
@@ -166,21 +164,13 @@
                         specs,
                         control,
                         watcher,
-                        voter,
+                        voter.service(),
                         generations,
                         frontend,
                         scheduler,
                         clock);
     }
 
-    private static ScheduledThreadPoolExecutor scheduler() {
-        ScheduledThreadPoolExecutor scheduler =
-                new ScheduledThreadPoolExecutor(
-                        SCHEDULER_THREADS, DaemonThreads.named("scheduler"));
-        scheduler.setRemoveOnCancelPolicy(true);
-        return scheduler;
-    }
-
     private ControlService voter(Path dataFolder) {
         return new ControlService(
                 ReplicationSettings.withDefaults(listener.address(), settings.voters()),
@@ -344,15 +334,8 @@
 
     @Override
     public void start() throws DaemonException {
-        try {
-            listener.start();
-            if (voter.isPresent()) {
-                voter.get().start();
-            }
-        } catch (LogStoreException e) {
-            throw new DaemonException(
-                    "start-voter", String.valueOf(settings.dataFolder().get()), "" + e, e);
-        }
+        listener.start();
+        voter.start();
         lifecycle.start();
         spread.start(scheduler);
         generations.start();
@@ -369,7 +352,7 @@
                 "peer",
                 listener.address(),
                 "voter",
-                voter.isPresent());
+                voter.service().isPresent());
     }
 
     /** Returns the address for callers, endpoints and operators. */
@@ -400,12 +383,7 @@
         generations.stop();
         spread.close();
         watcher.stop();
-        voter.ifPresent(
-                service ->
-                        service.stop()
-                                .orTimeout(CLOSE_WAIT_MS, TimeUnit.MILLISECONDS)
-                                .exceptionally(failure -> null)
-                                .join());
+        voter.stop(CLOSE_WAIT_MS);
         listener.close();
         scheduler.shutdownNow();
         attemptThreads.shutdownNow();
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -14,13 +14,13 @@
 import io.sapphirestack.core.relay.RelayedWork;
 import io.sapphirestack.core.relay.RepeatBudget;
 import io.sapphirestack.core.relay.TrafficPlan;
-import io.sapphirestack.core.replication.LogStoreException;
 import io.sapphirestack.core.replication.ReplicationSettings;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.routing.InFlightTracker;
 import io.sapphirestack.core.routing.PrefixIndex;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.daemon.DaemonException;
+import io.sapphirestack.daemon.LocalVoter;
 import io.sapphirestack.daemon.ManagedInstance;
 import io.sapphirestack.daemon.OwnStop;
 import io.sapphirestack.daemon.PeerListener;
@@ -82,7 +82,7 @@
     private final VoterDirectory voters;
     private final VoterFinder voterFinder;
     private final DefaultControlClient control;
-    private final Optional<ControlService> voter;
+    private final LocalVoter voter;
     private final InFlightTracker inFlight;
     private final EndpointRegistry registry;
     private final SpreadService spread;
@@ -109,7 +109,7 @@
             throws ServiceException {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.listener = Objects.requireNonNull(listener, "listener");
-        this.scheduler = newScheduler();
+        this.scheduler = DaemonThreads.scheduler(SCHEDULER_THREADS);
         this.transport =
                 new TcpPeerTransport(
                         listener.loop(),
@@ -120,7 +120,7 @@
         this.voterFinder = new VoterFinder(voters, transport, this::instanceAddresses);
         voterFinder.register(listener.handlers());
         this.control = new DefaultControlClient(voters, transport, scheduler, clock);
-        this.voter = settings.dataFolder().map(this::voter);
+        this.voter = new LocalVoter(settings.dataFolder(), this::voter);
         this.inFlight = new InFlightTracker(clock);
         this.registry =
                 new EndpointRegistry(
@@ -144,21 +144,13 @@
                         () -> plans.current().isPresent(),
                         new OwnStop(control, blackboard.control()::read, STOP_TIMEOUT_MS),
                         watcher,
-                        voter,
+                        voter.service(),
                         callers,
                         relay,
                         settings.graceMs(),
                         clock);
     }
 
-    private static ScheduledThreadPoolExecutor newScheduler() {
-        ScheduledThreadPoolExecutor scheduler =
-                new ScheduledThreadPoolExecutor(
-                        SCHEDULER_THREADS, DaemonThreads.named("scheduler"));
-        scheduler.setRemoveOnCancelPolicy(true);
-        return scheduler;
-    }
-
     private ControlService voter(Path dataFolder) {
         return new ControlService(
                 ReplicationSettings.withDefaults(
@@ -185,7 +177,7 @@
     }
 
     private void learnVoters() {
-        voter.ifPresent(service -> service.voters().thenAccept(voters::learn));
+        voter.service().ifPresent(service -> service.voters().thenAccept(voters::learn));
     }
 
     private SpreadService spread() {
@@ -287,15 +279,8 @@
 
     @Override
     public void start() throws DaemonException {
-        try {
-            listener.start();
-            if (voter.isPresent()) {
-                voter.get().start();
-            }
-        } catch (LogStoreException e) {
-            throw new DaemonException(
-                    "start-voter", String.valueOf(settings.dataFolder().get()), "" + e, e);
-        }
+        listener.start();
+        voter.start();
         watcher.start();
         voterFinder.start(scheduler);
         scheduler.scheduleWithFixedDelay(
@@ -313,7 +298,7 @@
                 "peer",
                 listener.address(),
                 "voter",
-                voter.isPresent());
+                voter.service().isPresent());
     }
 
     /**
@@ -388,12 +373,7 @@
         relay.close();
         spread.close();
         watcher.stop();
-        voter.ifPresent(
-                service ->
-                        service.stop()
-                                .orTimeout(CLOSE_WAIT_MS, TimeUnit.MILLISECONDS)
-                                .exceptionally(failure -> null)
-                                .join());
+        voter.stop(CLOSE_WAIT_MS);
         listener.close();
         scheduler.shutdownNow();
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/DaemonThreads.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/DaemonThreads.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.concurrent;
 
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
 
 /** Threads that do not keep the process alive. */
@@ -20,4 +21,17 @@
             return thread;
         };
     }
+
+    /**
+     * Creates a scheduler whose cancelled tasks are dropped at once.
+     *
+     * @param threads threads that run its tasks
+     * @return scheduler to be shut down by its owner
+     */
+    public static ScheduledThreadPoolExecutor scheduler(int threads) {
+        ScheduledThreadPoolExecutor scheduler =
+                new ScheduledThreadPoolExecutor(threads, named("scheduler"));
+        scheduler.setRemoveOnCancelPolicy(true);
+        return scheduler;
+    }
 }
