Share the repeat budget between instances that know each other's use

Cause: each instance kept to its own share of the fleet's repeats. Change: instances tell each other requests and repeats of each service by the dissemination tree (as usage, every 200 ms) and take from one pool while less than 0.6 of the budget is used; the rest stays in shares and covers what is not known yet.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/limit/UsageTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/limit/UsageTable.java
@@ -26,7 +26,17 @@
      * @return 32-bit hash
      */
     public static int handleOf(AccountId account) {
-        return Hashing.xxh3_64().hashStream().putString(account.value()).getAsInt();
+        return handleOf(account.value());
+    }
+
+    /**
+     * Computes the short name of anything else whose use is summed up.
+     *
+     * @param name name that no account has
+     * @return 32-bit hash
+     */
+    public static int handleOf(String name) {
+        return Hashing.xxh3_64().hashStream().putString(name).getAsInt();
     }
 
     /**
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/RepeatBudget.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/RepeatBudget.java
@@ -4,19 +4,30 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 
 /**
- * This instance's share of the repeats that a service may get: a part of its own requests in a
- * sliding window, and an equal part of the reserve of the fleet. Shares add up to no more than the
- * whole, so no instance has to ask another one. Thread-safe.
+ * Repeats that this instance may make of the requests for a service, out of one budget of the whole
+ * fleet: a part of the requests in a sliding window, and a reserve.
+ *
+ * <p>Each instance has a share: that part of its own requests, and an equal part of the reserve.
+ * Failures do not come in equal shares, so instances that know each other's use take from one pool
+ * while it is less than {@value #POOL_PART} used, and keep the rest of the budget in shares. What
+ * others used lately and is not known yet, has to fit into that rest. Thread-safe.
  */
 public final class RepeatBudget {
 
+    /** Part of the budget that is common to all instances that know each other's use. */
+    static final double POOL_PART = 0.6;
+
     private final Settings settings;
     private final IntSupplier instances;
+    private final Function<String, Optional<Use>> others;
     private final MillisClock clock;
     private final Map<String, Window> windows = new HashMap<>();
 
@@ -30,15 +41,41 @@
     public record Settings(double ratio, double reserve, long windowMs) {}
 
     /**
-     * Creates a budget.
+     * Use of the budget of one service within the window.
+     *
+     * @param instances instances that it comes from
+     * @param requests first attempts
+     * @param repeats repeats
+     */
+    public record Use(int instances, double requests, int repeats) {}
+
+    /**
+     * Creates the budget of an instance that does not know the use of others.
      *
      * @param settings bounds
      * @param instances returns the number of instances that share the reserve
      * @param clock monotonic clock
      */
     public RepeatBudget(Settings settings, IntSupplier instances, MillisClock clock) {
+        this(settings, instances, service -> Optional.empty(), clock);
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param settings bounds
+     * @param instances returns the number of instances that share the reserve
+     * @param others returns the use of a service by all other instances, empty if it is not known
+     * @param clock monotonic clock
+     */
+    public RepeatBudget(
+            Settings settings,
+            IntSupplier instances,
+            Function<String, Optional<Use>> others,
+            MillisClock clock) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.instances = Objects.requireNonNull(instances, "instances");
+        this.others = Objects.requireNonNull(others, "others");
         this.clock = Objects.requireNonNull(clock, "clock");
     }
 
@@ -64,7 +101,7 @@
      */
     public synchronized boolean tryRepeat(String service) {
         Window window = window(service);
-        if (window.repeatsMs.size() + 1 > allowed(window)) {
+        if (window.repeatsMs.size() + 1 > allowed(service, window)) {
             return false;
         }
         window.repeatsMs.add(clock.nowMs());
@@ -79,12 +116,34 @@
      */
     public synchronized int left(String service) {
         Window window = window(service);
-        return Math.max(0, (int) allowed(window) - window.repeatsMs.size());
+        return Math.max(0, (int) allowed(service, window) - window.repeatsMs.size());
     }
 
-    private double allowed(Window window) {
-        return settings.ratio() * window.requestsMs.size()
-                + settings.reserve() / Math.max(1, instances.getAsInt());
+    /** Returns the use of each service by this instance within the window. */
+    public synchronized Map<String, Use> ownUse() {
+        Map<String, Use> use = new HashMap<>();
+        for (String service : List.copyOf(windows.keySet())) {
+            Window window = window(service);
+            use.put(service, new Use(1, window.requestsMs.size(), window.repeatsMs.size()));
+        }
+        return use;
+    }
+
+    /** Returns how many repeats this instance may have made within the window. */
+    private double allowed(String service, Window window) {
+        int all = Math.max(1, instances.getAsInt());
+        int own = window.requestsMs.size();
+        double share = settings.ratio() * own + settings.reserve() / all;
+        Optional<Use> other = others.apply(service);
+        if (other.isEmpty()) {
+            return share;
+        }
+        // An instance that hears of few others counts on their part of the reserve only.
+        double heardPart = Math.min(1, (1.0 + other.get().instances()) / all);
+        double whole =
+                settings.ratio() * (own + other.get().requests()) + settings.reserve() * heardPart;
+        double pool = POOL_PART * whole - other.get().repeats();
+        return Math.max(pool, (1 - POOL_PART) * share);
     }
 
     private Window window(String service) {
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -6,7 +6,6 @@
 import io.sapphirestack.core.control.InstanceStatus;
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
-import io.sapphirestack.core.limit.UsageTable;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
@@ -84,6 +83,8 @@
     private final DefaultControlClient control;
     private final LocalVoter voter;
     private final InFlightTracker inFlight;
+    private final RepeatSharing sharing;
+    private final RepeatBudget repeats;
     private final EndpointRegistry registry;
     private final SpreadService spread;
     private final TrafficPlans plans;
@@ -122,6 +123,9 @@
         this.control = new DefaultControlClient(voters, transport, scheduler, clock);
         this.voter = new LocalVoter(settings.dataFolder(), this::voter);
         this.inFlight = new InFlightTracker(clock);
+        this.sharing = new RepeatSharing(settings.repeats().windowMs(), spreadParts.usage()::read);
+        this.repeats =
+                new RepeatBudget(settings.repeats(), this::liveInstances, sharing::others, clock);
         this.registry =
                 new EndpointRegistry(
                         blackboard.endpoints(), name -> Optional.empty(), new PrefixIndex(), clock);
@@ -189,7 +193,9 @@
                         registry,
                         spreadParts,
                         new SpreadSources(
-                                () -> UsageTable.EMPTY, account -> false, inFlight::snapshot),
+                                () -> sharing.table(repeats.ownUse()),
+                                account -> true,
+                                inFlight::snapshot),
                         SPREAD_FAN_OUT,
                         clock);
         service.register(listener.handlers());
@@ -209,7 +215,7 @@
                         () -> ThreadLocalRandom.current().nextDouble()),
                 health,
                 inFlight,
-                new RepeatBudget(settings.repeats(), this::liveInstances, clock),
+                repeats,
                 metrics,
                 clock);
     }
