Disseminate the work in flight of relaying instances up to 400 endpoints

Cause: above 100 endpoints instances do not tell each other their work in flight, because engines of the product's own report their load. Change: the limit is a setting of the sources, 400 for relaying instances. SpreadServiceTests fails with the old limit.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -65,6 +65,13 @@
     private static final EventLog LOG = EventLog.of(RelayAssembly.class);
     private static final int SCHEDULER_THREADS = 2;
     private static final int SPREAD_FAN_OUT = 3;
+
+    /**
+     * Relayed endpoints report no load, so the work of other instances is all that placement knows.
+     * Changes of so many endpoints in every batch are 24 KB/s for a neighbour.
+     */
+    private static final int WORK_LIMIT_ENDPOINTS = 400;
+
     private static final long LEARN_VOTERS_MS = 300;
     private static final long STOP_TIMEOUT_MS = 2_000;
     private static final long CLOSE_WAIT_MS = 1_000;
@@ -195,7 +202,8 @@
                         new SpreadSources(
                                 () -> sharing.table(repeats.ownUse()),
                                 account -> true,
-                                inFlight::snapshot),
+                                inFlight::snapshot,
+                                WORK_LIMIT_ENDPOINTS),
                         SPREAD_FAN_OUT,
                         clock);
         service.register(listener.handlers());
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
@@ -155,7 +155,7 @@
         registry.tick();
         UsageTable local = sources.usage().get();
         // Many endpoints would make the changes exceed the traffic budget.
-        boolean spreadsWork = registry.size() <= InFlightAggregator.MAX_ENDPOINTS;
+        boolean spreadsWork = registry.size() <= sources.workLimitEndpoints();
         Map<Integer, Integer> work =
                 spreadsWork ? registry.byHandle(sources.inFlight().get()) : Map.of();
         List<Runnable> sends = new ArrayList<>();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadSources.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadSources.java
@@ -2,6 +2,7 @@
 
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.limit.UsageTable;
+import io.sapphirestack.core.membership.InFlightAggregator;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.IntPredicate;
@@ -14,15 +15,31 @@
  * @param urgentAccount tells by short name whether an account is near its limit, so that its use is
  *     disseminated more often
  * @param inFlight returns the work in flight by endpoint at this instance
+ * @param workLimitEndpoints most endpoints for which work in flight is disseminated
  */
 public record SpreadSources(
         Supplier<UsageTable> usage,
         IntPredicate urgentAccount,
-        Supplier<Map<EndpointId, Integer>> inFlight) {
+        Supplier<Map<EndpointId, Integer>> inFlight,
+        int workLimitEndpoints) {
     /** Checks the components. */
     public SpreadSources {
         Objects.requireNonNull(usage, "usage");
         Objects.requireNonNull(urgentAccount, "urgentAccount");
         Objects.requireNonNull(inFlight, "inFlight");
     }
+
+    /**
+     * Creates sources of instances whose endpoints report their load.
+     *
+     * @param usage returns the use by client accounts at this instance
+     * @param urgentAccount tells by short name whether an account is near its limit
+     * @param inFlight returns the work in flight by endpoint at this instance
+     */
+    public SpreadSources(
+            Supplier<UsageTable> usage,
+            IntPredicate urgentAccount,
+            Supplier<Map<EndpointId, Integer>> inFlight) {
+        this(usage, urgentAccount, inFlight, InFlightAggregator.MAX_ENDPOINTS);
+    }
 }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/SpreadServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/SpreadServiceTests.java
@@ -16,6 +16,7 @@
 import io.sapphirestack.core.membership.EndpointAnnouncement;
 import io.sapphirestack.core.membership.EndpointLoad;
 import io.sapphirestack.core.membership.EndpointPhase;
+import io.sapphirestack.core.membership.InFlightAggregator;
 import io.sapphirestack.core.membership.ReportTable;
 import io.sapphirestack.core.record.ModelPin;
 import io.sapphirestack.core.record.ObjectivesSpec;
@@ -39,6 +40,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -65,6 +67,9 @@
     private final List<Member> members = new ArrayList<>();
     private final List<Runnable> network = new ArrayList<>();
 
+    /** Most endpoints for which the members disseminate work. */
+    private int workLimitEndpoints = InFlightAggregator.MAX_ENDPOINTS;
+
     /** Share of calls that are lost, in percent. */
     private int lossPercent;
 
@@ -110,7 +115,8 @@
                             new SpreadSources(
                                     this::localUsage,
                                     handle -> true,
-                                    () -> Map.of(EndpointId.of("e1"), work)),
+                                    () -> Map.of(EndpointId.of("e1"), work),
+                                    workLimitEndpoints),
                             2,
                             () -> nowMs);
             spread.register(this);
@@ -253,6 +259,24 @@
         }
     }
 
+    @Example
+    void workAtManyEndpointsIsKnownToInstancesThatHaveNoReportsOfLoad() {
+        workLimitEndpoints = 400;
+        start(3);
+        round();
+        round();
+        for (int i = 1; i <= 150; i++) {
+            announce(members.get(i % 3), "e" + i, 1, 1, "v1");
+        }
+        members.forEach(member -> member.work = 5);
+        for (int i = 0; i < 10; i++) {
+            round();
+        }
+        for (Member member : members) {
+            assertThat(member.parts.inFlight().read().of(EndpointId.of("e1"), 1)).isEqualTo(10);
+        }
+    }
+
     /**
      * Announcements, lost calls, differing membership views and restarts in random order. After the
      * faults end, all instances must know the newest announcement of each endpoint.
