Keep the error rate of an unknown endpoint at 0 whatever the clock says

Found while reading: 0 times a power that overflows is not a number, and the monotonic clock may be negative. Also renames a parameter that hid a field.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/EndpointHealth.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/EndpointHealth.java
@@ -46,7 +46,10 @@
     private record Health(int failures, long suspectUntilMs, double errorRate, long errorRateAtMs) {
 
         double errorRate(long nowMs) {
-            return errorRate * Math.pow(0.5, (nowMs - errorRateAtMs) / ERROR_HALF_LIFE_MS);
+            // A rate of 0 has no time, and the monotonic clock may be negative.
+            return errorRate == 0
+                    ? 0
+                    : errorRate * Math.pow(0.5, (nowMs - errorRateAtMs) / ERROR_HALF_LIFE_MS);
         }
 
         /** Returns the moving average with one more outcome. */
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
@@ -56,20 +56,20 @@
      * Chooses where a request runs. The endpoints of one availability zone often fail together, so
      * zones in which this request has failed come last.
      *
-     * @param work what the request will cost its endpoint
+     * @param placed what the request will cost its endpoint
      * @param candidates endpoints of its service that take new work
      * @param failed endpoints at which this request has failed; used only if there is no other
      * @return the endpoint, or empty if there is no candidate
      */
     public Optional<EndpointState> choose(
-            RelayedWork work, List<EndpointState> candidates, Collection<EndpointState> failed) {
+            RelayedWork placed, List<EndpointState> candidates, Collection<EndpointState> failed) {
         Set<EndpointId> ids = idsOf(failed);
         Set<String> zones = zonesOf(failed);
         Predicate<EndpointState> fresh = e -> isFresh(e, ids);
-        return best(work, candidates, fresh.and(e -> !zones.contains(e.availabilityZone())))
-                .or(() -> best(work, candidates, fresh))
-                .or(() -> best(work, candidates, e -> !ids.contains(e.id())))
-                .or(() -> best(work, candidates, e -> true));
+        return best(placed, candidates, fresh.and(e -> !zones.contains(e.availabilityZone())))
+                .or(() -> best(placed, candidates, fresh))
+                .or(() -> best(placed, candidates, e -> !ids.contains(e.id())))
+                .or(() -> best(placed, candidates, e -> true));
     }
 
     /**
--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/EndpointHealthTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/EndpointHealthTests.java
@@ -6,6 +6,8 @@
 import io.sapphirestack.core.id.EndpointId;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against endpoints that lose answers and are used as often as sound ones. */
 class EndpointHealthTests {
@@ -33,8 +35,10 @@
         assertThat(health.errorRate(ID)).isLessThan(0.001);
     }
 
-    @Test
-    void unknownEndpointHasNoErrors() {
+    @ParameterizedTest
+    @ValueSource(longs = {50_000, 0, -9_000_000_000L})
+    void unknownEndpointHasNoErrorsWhateverTheClockSays(long clockMs) {
+        nowMs.set(clockMs);
         assertThat(health.errorRate(ID)).isZero();
         assertThat(health.isSuspect(ID)).isFalse();
     }
