--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StartupWait.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StartupWait.java
@@ -76,20 +76,24 @@
         if (!patience.isLearning(clock.nowMs())) {
             return list.get();
         }
+        long sinceMs = clock.nowMs();
         Settling settling = new Settling(all ? SETTLED_MS : 0);
         long callerMs = request.deadlineAtMs() - request.exchange().receivedAtMs();
         List<EndpointState> known =
                 await(request.exchange(), callerMs, () -> settling.filter(list.get()))
                         .orElseGet(list);
-        LOG.info(
-                "SAP1924",
-                "A request waited for endpoints of a started instance",
-                "request",
-                request.id(),
-                "endpoints",
-                known.size(),
-                "ageMs",
-                clock.nowMs() - request.exchange().receivedAtMs());
+        long waitedMs = clock.nowMs() - sinceMs;
+        if (waitedMs >= LOOK_MS) {
+            LOG.info(
+                    "SAP1924",
+                    "A request waited for endpoints of a started instance",
+                    "request",
+                    request.id(),
+                    "endpoints",
+                    known.size(),
+                    "waitedMs",
+                    waitedMs);
+        }
         return known;
     }
 
