Disseminate the use of repeat budgets under its own types

It travelled as the usage of made-up accounts, with the number of instances in the field for admitted requests.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/limit/UsageTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/limit/UsageTable.java
@@ -26,17 +26,7 @@
      * @return 32-bit hash
      */
     public static int handleOf(AccountId account) {
-        return handleOf(account.value());
-    }
-
-    /**
-     * Computes the short name of anything else whose use is summed up.
-     *
-     * @param name name that no account has
-     * @return 32-bit hash
-     */
-    public static int handleOf(String name) {
-        return Hashing.xxh3_64().hashStream().putString(name).getAsInt();
+        return Hashing.xxh3_64().hashStream().putString(account.value()).getAsInt();
     }
 
     /**
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/RepeatBudget.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/RepeatBudget.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.core.relay;
 
+import io.sapphirestack.core.limit.RepeatUse;
 import io.sapphirestack.core.time.MillisClock;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -27,7 +28,7 @@
 
     private final Settings settings;
     private final IntSupplier instances;
-    private final Function<String, Optional<Use>> others;
+    private final Function<String, Optional<RepeatUse>> others;
     private final MillisClock clock;
     private final Map<String, Window> windows = new HashMap<>();
 
@@ -40,15 +41,6 @@
      */
     public record Settings(double ratio, double reserve, long windowMs) {}
 
-    /**
-     * Use of the budget of one service within the window.
-     *
-     * @param instances instances that it comes from
-     * @param requests first attempts
-     * @param repeats repeats
-     */
-    public record Use(int instances, double requests, int repeats) {}
-
     /**
      * Creates the budget of an instance that does not know the use of others.
      *
@@ -71,7 +63,7 @@
     public RepeatBudget(
             Settings settings,
             IntSupplier instances,
-            Function<String, Optional<Use>> others,
+            Function<String, Optional<RepeatUse>> others,
             MillisClock clock) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.instances = Objects.requireNonNull(instances, "instances");
@@ -120,11 +112,11 @@
     }
 
     /** Returns the use of each service by this instance within the window. */
-    public synchronized Map<String, Use> ownUse() {
-        Map<String, Use> use = new HashMap<>();
+    public synchronized Map<String, RepeatUse> ownUse() {
+        Map<String, RepeatUse> use = new HashMap<>();
         for (String service : List.copyOf(windows.keySet())) {
             Window window = window(service);
-            use.put(service, new Use(1, window.requestsMs.size(), window.repeatsMs.size()));
+            use.put(service, new RepeatUse(1, window.requestsMs.size(), window.repeatsMs.size()));
         }
         return use;
     }
@@ -134,7 +126,7 @@
         int all = Math.max(1, instances.getAsInt());
         int own = window.requestsMs.size();
         double share = settings.ratio() * own + settings.reserve() / all;
-        Optional<Use> other = others.apply(service);
+        Optional<RepeatUse> other = others.apply(service);
         if (other.isEmpty()) {
             return share;
         }
--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/RepeatBudgetTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/RepeatBudgetTests.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sapphirestack.core.limit.RepeatUse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -41,7 +42,7 @@
     /** One of many instances that hear of each other's use some time later. */
     private static final class Member {
         private final RepeatBudget budget;
-        private Optional<RepeatBudget.Use> others = Optional.empty();
+        private Optional<RepeatUse> others = Optional.empty();
 
         Member(AtomicLong nowMs) {
             budget =
@@ -52,8 +53,8 @@
                             nowMs::get);
         }
 
-        RepeatBudget.Use use() {
-            return budget.ownUse().getOrDefault("s", new RepeatBudget.Use(1, 0, 0));
+        RepeatUse use() {
+            return budget.ownUse().getOrDefault("s", new RepeatUse(1, 0, 0));
         }
     }
 
@@ -70,7 +71,7 @@
     }
 
     private static void share(List<Member> fleet) {
-        double requests = 0;
+        int requests = 0;
         int repeats = 0;
         for (Member member : fleet) {
             requests += member.use().requests();
@@ -79,7 +80,7 @@
         for (Member member : fleet) {
             member.others =
                     Optional.of(
-                            new RepeatBudget.Use(
+                            new RepeatUse(
                                     FLEET - 1,
                                     requests - member.use().requests(),
                                     repeats - member.use().repeats()));
@@ -119,7 +120,7 @@
     @Test
     void instanceThatHearsOfNobodyKeepsToItsShare() {
         Member alone = fleet(new AtomicLong(), 10).get(0);
-        alone.others = Optional.of(new RepeatBudget.Use(0, 0, 0));
+        alone.others = Optional.of(new RepeatUse(0, 0, 0));
         int made = 0;
         while (alone.budget.tryRepeat("s")) {
             made++;
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -6,6 +6,8 @@
 import io.sapphirestack.core.control.InstanceStatus;
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.limit.RepeatTable;
+import io.sapphirestack.core.limit.UsageTable;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
@@ -90,7 +92,6 @@
     private final DefaultControlClient control;
     private final LocalVoter voter;
     private final InFlightTracker inFlight;
-    private final RepeatSharing sharing;
     private final RepeatBudget repeats;
     private final EndpointRegistry registry;
     private final SpreadService spread;
@@ -130,9 +131,12 @@
         this.control = new DefaultControlClient(voters, transport, scheduler, clock);
         this.voter = new LocalVoter(settings.dataFolder(), this::voter);
         this.inFlight = new InFlightTracker(clock);
-        this.sharing = new RepeatSharing(settings.repeats().windowMs(), spreadParts.usage()::read);
         this.repeats =
-                new RepeatBudget(settings.repeats(), this::liveInstances, sharing::others, clock);
+                new RepeatBudget(
+                        settings.repeats(),
+                        this::liveInstances,
+                        service -> spreadParts.repeats().read().of(service),
+                        clock);
         this.registry =
                 new EndpointRegistry(
                         blackboard.endpoints(), name -> Optional.empty(), new PrefixIndex(), clock);
@@ -200,9 +204,10 @@
                         registry,
                         spreadParts,
                         new SpreadSources(
-                                () -> sharing.table(repeats.ownUse()),
-                                account -> true,
+                                () -> UsageTable.EMPTY,
+                                account -> false,
                                 inFlight::snapshot,
+                                () -> RepeatTable.ofServices(repeats.ownUse()),
                                 WORK_LIMIT_ENDPOINTS),
                         SPREAD_FAN_OUT,
                         clock);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadService.java
@@ -11,6 +11,7 @@
 import io.sapphirestack.core.membership.EndpointReport;
 import io.sapphirestack.core.membership.InFlightAggregator;
 import io.sapphirestack.core.membership.InFlightTable;
+import io.sapphirestack.core.membership.RepeatAggregator;
 import io.sapphirestack.core.membership.SpreadTree;
 import io.sapphirestack.core.membership.UsageAggregator;
 import io.sapphirestack.core.time.MillisClock;
@@ -31,8 +32,9 @@
 import org.jboss.logging.Logger;
 
 /**
- * Passes endpoint reports and account usage on to the neighbours in the dissemination tree.
- * Thread-safe. {@link #tick()} does all periodic work and is called every {@link #BATCH_MS}.
+ * Passes endpoint reports, account usage, work in flight and the use of repeat budgets on to the
+ * neighbours in the dissemination tree. Thread-safe. {@link #tick()} does all periodic work and is
+ * called every {@link #BATCH_MS}.
  */
 public final class SpreadService implements AutoCloseable {
     /** Time between two batches to a neighbour, in milliseconds. */
@@ -68,6 +70,7 @@
     private final Object lock = new Object();
     private final UsageAggregator usage = new UsageAggregator();
     private final InFlightAggregator inFlight = new InFlightAggregator();
+    private final RepeatAggregator repeats = new RepeatAggregator();
     private final Map<InstanceId, Neighbour> neighbours = new HashMap<>();
     private Set<InstanceInfo> treeMembers = Set.of();
     private InstanceId own;
@@ -165,7 +168,7 @@
             for (Neighbour neighbour : neighbours.values()) {
                 boolean exchangeDue = nowMs >= neighbour.nextExchangeMs && !neighbour.exchanging;
                 SpreadBatch batch = nextBatch(neighbour, local, work, exchangeDue, nowMs);
-                if (batch.r().length + batch.u().length + batch.f().length > 0) {
+                if (!batch.saysNothing()) {
                     sends.add(() -> send(neighbour, batch));
                 }
                 if (exchangeDue) {
@@ -175,6 +178,7 @@
                 }
             }
             parts.usage().publish(usage.others());
+            parts.repeats().publish(repeats.others());
             parts.inFlight()
                     .publish(
                             spreadsWork && tree.contains(own)
@@ -204,6 +208,7 @@
         next.forEach((n, info) -> neighbours.computeIfAbsent(n, x -> new Neighbour(info, nowMs)));
         usage.retainNeighbours(neighbours.keySet());
         inFlight.retainNeighbours(neighbours.keySet());
+        repeats.retainNeighbours(neighbours.keySet());
         LOG.debugf("SAP3011 Tree of %d instances, own neighbours %s", tree.size(), next.keySet());
     }
 
@@ -233,7 +238,9 @@
                 registry.encode(reports),
                 usage.encodeFor(
                         neighbour.info.ref().id(), local, sources.urgentAccount(), probe, nowMs),
-                inFlight.encodeFor(neighbour.info.ref().id(), work, probe));
+                inFlight.encodeFor(neighbour.info.ref().id(), work, probe),
+                repeats.encodeFor(
+                        neighbour.info.ref().id(), sources.repeats().get().byHandle(), probe));
     }
 
     /** Keeps the last events, which describe the present state of the cache best. */
@@ -283,6 +290,7 @@
         synchronized (lock) {
             usage.resend(neighbour.info.ref().id());
             inFlight.resend(neighbour.info.ref().id());
+            repeats.resend(neighbour.info.ref().id());
         }
     }
 
@@ -294,7 +302,8 @@
             if (batch.t() == tree.fingerprint() && neighbours.containsKey(batch.s())) {
                 applied =
                         usage.receive(batch.s(), batch.u())
-                                & inFlight.receive(batch.s(), batch.f());
+                                & inFlight.receive(batch.s(), batch.f())
+                                & repeats.receive(batch.s(), batch.b());
             }
         }
         return new SpreadBatch.Ack(merged.missing(), !applied);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadSources.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SpreadSources.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.endpoint;
 
 import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.limit.RepeatTable;
 import io.sapphirestack.core.limit.UsageTable;
 import io.sapphirestack.core.membership.InFlightAggregator;
 import java.util.Map;
@@ -15,22 +16,25 @@
  * @param urgentAccount tells by short name whether an account is near its limit, so that its use is
  *     disseminated more often
  * @param inFlight returns the work in flight by endpoint at this instance
+ * @param repeats returns the use of repeat budgets by this instance
  * @param workLimitEndpoints most endpoints for which work in flight is disseminated
  */
 public record SpreadSources(
         Supplier<UsageTable> usage,
         IntPredicate urgentAccount,
         Supplier<Map<EndpointId, Integer>> inFlight,
+        Supplier<RepeatTable> repeats,
         int workLimitEndpoints) {
     /** Checks the components. */
     public SpreadSources {
         Objects.requireNonNull(usage, "usage");
         Objects.requireNonNull(urgentAccount, "urgentAccount");
         Objects.requireNonNull(inFlight, "inFlight");
+        Objects.requireNonNull(repeats, "repeats");
     }
 
     /**
-     * Creates sources of instances whose endpoints report their load.
+     * Creates sources of instances that relay nothing and whose endpoints report their load.
      *
      * @param usage returns the use by client accounts at this instance
      * @param urgentAccount tells by short name whether an account is near its limit
@@ -40,6 +44,11 @@
             Supplier<UsageTable> usage,
             IntPredicate urgentAccount,
             Supplier<Map<EndpointId, Integer>> inFlight) {
-        this(usage, urgentAccount, inFlight, InFlightAggregator.MAX_ENDPOINTS);
+        this(
+                usage,
+                urgentAccount,
+                inFlight,
+                () -> RepeatTable.EMPTY,
+                InFlightAggregator.MAX_ENDPOINTS);
     }
 }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/SpreadServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/SpreadServiceTests.java
@@ -11,6 +11,8 @@
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.limit.AccountUsage;
+import io.sapphirestack.core.limit.RepeatTable;
+import io.sapphirestack.core.limit.RepeatUse;
 import io.sapphirestack.core.limit.UsageTable;
 import io.sapphirestack.core.membership.CacheEvent;
 import io.sapphirestack.core.membership.EndpointAnnouncement;
@@ -85,6 +87,7 @@
         private final SpreadParts parts = SpreadParts.create();
         private int work;
         private int generations = 1;
+        private RepeatTable repeats = RepeatTable.EMPTY;
         private final PrefixIndex prefixes = new PrefixIndex(64);
         private final Map<Class<?>, PeerHandler<?, ?>> handlers = new HashMap<>();
         private final EndpointRegistry registry;
@@ -116,6 +119,7 @@
                                     this::localUsage,
                                     handle -> true,
                                     () -> Map.of(EndpointId.of("e1"), work),
+                                    () -> repeats,
                                     workLimitEndpoints),
                             2,
                             () -> nowMs);
@@ -247,6 +251,9 @@
         for (Member member : members) {
             member.work = random.nextInt(5);
             sum += member.work;
+            member.repeats =
+                    RepeatTable.ofServices(
+                            Map.of("scribe", new RepeatUse(1, 20 * member.work, member.work)));
         }
         for (int i = 0; i < 30; i++) {
             round();
@@ -256,6 +263,10 @@
                     .isEqualTo(sum);
             assertThat(member.parts.usage().read().byHandle().getOrDefault(7, AccountUsage.NONE))
                     .isEqualTo(new AccountUsage(count - 1, 0, 0));
+            int others = sum - member.work;
+            assertThat(member.parts.repeats().read().of("scribe").orElse(RepeatUse.NONE))
+                    .isEqualTo(new RepeatUse(count - 1, 20 * others, others));
+            assertThat(member.parts.repeats().read().of("ledger")).isEmpty();
         }
     }
 
