Mend repeated code and timing in tests

ConnectionMemoryTests waits for connections and answers instead of a time. The two forms of a generation's answer share AnswerSource, the stand-in commands share the start of announcing, and the relay tests their endpoints.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/EventStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/EventStream.java
@@ -4,7 +4,6 @@
 import io.sapphirestack.core.error.RanState;
 import io.sapphirestack.core.error.Refusal;
 import io.sapphirestack.core.error.RefusedException;
-import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.generation.GenerationPhase;
 import io.sapphirestack.runtime.generation.TokenBatch;
 import java.io.IOException;
@@ -22,23 +21,10 @@
     private static final byte[] KEEP_ALIVE = utf8(": keep-alive\n\n");
     private static final byte[] DONE = utf8("data: [DONE]\n\n");
 
-    private final TokenReader reader;
-    private final String model;
-    private final StreamObserver observer;
-    private final MillisClock clock;
-    private final long deadlineMs;
+    private final AnswerSource source;
 
-    EventStream(
-            TokenReader reader,
-            String model,
-            StreamObserver observer,
-            MillisClock clock,
-            long deadlineMs) {
-        this.reader = reader;
-        this.model = model;
-        this.observer = observer;
-        this.clock = clock;
-        this.deadlineMs = deadlineMs;
+    EventStream(AnswerSource source) {
+        this.source = source;
     }
 
     /**
@@ -47,25 +33,25 @@
     void writeTo(OutputStream out, Optional<TokenBatch> first) throws IOException {
         try {
             Optional<TokenBatch> batch = first;
-            long lastWriteMs = clock.nowMs();
+            long lastWriteMs = source.clock().nowMs();
             while (true) {
                 if (batch.isPresent() && !batch.get().tokens().isEmpty()) {
                     writeTokens(out, batch.get());
-                    lastWriteMs = clock.nowMs();
-                } else if (clock.nowMs() - lastWriteMs >= TokenReader.KEEP_ALIVE_MS / 2) {
+                    lastWriteMs = source.clock().nowMs();
+                } else if (source.clock().nowMs() - lastWriteMs >= TokenReader.KEEP_ALIVE_MS / 2) {
                     out.write(KEEP_ALIVE);
                     out.flush();
-                    lastWriteMs = clock.nowMs();
+                    lastWriteMs = source.clock().nowMs();
                 }
                 if (batch.isPresent() && batch.get().complete()) {
                     writeEnd(out, batch.get());
                     return;
                 }
-                if (clock.nowMs() >= deadlineMs) {
+                if (source.isOverdue()) {
                     writeError(out, deadlineRefusal());
                     return;
                 }
-                batch = reader.next();
+                batch = source.reader().next();
             }
         } catch (RefusedException e) {
             writeError(out, e.refusal());
@@ -80,7 +66,7 @@
             offset++;
         }
         out.flush();
-        observer.tokens(batch.tokens().size());
+        source.observer().tokens(batch.tokens().size());
     }
 
     private void writeEnd(OutputStream out, TokenBatch batch) throws IOException {
@@ -94,9 +80,9 @@
         ObjectNode chunk =
                 ApiJson.MAPPER
                         .createObjectNode()
-                        .put("id", reader.id().value())
+                        .put("id", source.reader().id().value())
                         .put("object", "text_completion")
-                        .put("model", model);
+                        .put("model", source.model());
         chunk.putArray("choices")
                 .addObject()
                 .put("index", 0)
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/GenerationHandlers.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/GenerationHandlers.java
@@ -71,25 +71,17 @@
         Runnable release = acquireStream();
         try {
             GenerationId id = services.generations().accept(wanted);
-            TokenReader reader = reader(id, caller, 0);
-            StreamObserver observer = observer(request, wanted.model(), true);
+            AnswerSource source =
+                    new AnswerSource(
+                            reader(id, caller, 0),
+                            wanted.model(),
+                            observer(request, wanted.model(), true),
+                            services.clock(),
+                            deadlineMs);
             ApiResponse response =
                     stream
-                            ? events(
-                                    new EventStream(
-                                            reader,
-                                            wanted.model(),
-                                            observer,
-                                            services.clock(),
-                                            deadlineMs),
-                                    Optional.empty())
-                            : wholeAnswer(
-                                    new WholeAnswer(
-                                            reader,
-                                            wanted.model(),
-                                            observer,
-                                            services.clock(),
-                                            deadlineMs));
+                            ? events(new EventStream(source), Optional.empty())
+                            : wholeAnswer(new WholeAnswer(source));
             return response.header("Sapphire-Generation-Id", id.value()).afterwards(release);
         } catch (RefusedException | IOException | RuntimeException e) {
             release.run();
@@ -121,11 +113,12 @@
             String model = status.pin().model();
             EventStream events =
                     new EventStream(
-                            reader,
-                            model,
-                            observer(request, model, false),
-                            services.clock(),
-                            deadline(request));
+                            new AnswerSource(
+                                    reader,
+                                    model,
+                                    observer(request, model, false),
+                                    services.clock(),
+                                    deadline(request)));
             return events(events, first)
                     .header("Sapphire-Generation-Id", id.value())
                     .afterwards(release);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/WholeAnswer.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/WholeAnswer.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sapphirestack.core.error.RefusedException;
-import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.generation.TokenBatch;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -20,23 +19,10 @@
     // become a refusal.
     private static final int BUFFERED_CHARS = 64 * 1024;
 
-    private final TokenReader reader;
-    private final String model;
-    private final MillisClock clock;
-    private final long deadlineMs;
-    private final StreamObserver observer;
+    private final AnswerSource source;
 
-    WholeAnswer(
-            TokenReader reader,
-            String model,
-            StreamObserver observer,
-            MillisClock clock,
-            long deadlineMs) {
-        this.reader = reader;
-        this.model = model;
-        this.observer = observer;
-        this.clock = clock;
-        this.deadlineMs = deadlineMs;
+    WholeAnswer(AnswerSource source) {
+        this.source = source;
     }
 
     /** Waits for the whole answer, or for its first part if it is long. */
@@ -52,12 +38,12 @@
     }
 
     private Optional<TokenBatch> read(StringBuilder text) throws RefusedException, IOException {
-        if (clock.nowMs() >= deadlineMs) {
+        if (source.isOverdue()) {
             throw new RefusedException(EventStream.deadlineRefusal());
         }
-        Optional<TokenBatch> batch = reader.next();
+        Optional<TokenBatch> batch = source.reader().next();
         if (batch.isPresent() && !batch.get().tokens().isEmpty()) {
-            observer.tokens(batch.get().tokens().size());
+            source.observer().tokens(batch.get().tokens().size());
             batch.get().tokens().forEach(text::append);
         }
         return batch;
@@ -67,24 +53,24 @@
         ObjectNode body =
                 ApiJson.MAPPER
                         .createObjectNode()
-                        .put("id", reader.id().value())
+                        .put("id", source.reader().id().value())
                         .put("object", "text_completion")
-                        .put("model", model);
+                        .put("model", source.model());
         body.putArray("choices")
                 .addObject()
                 .put("index", 0)
                 .put("text", text)
                 .put("finish_reason", EventStream.finishReason(last));
-        body.putObject("usage").put("completion_tokens", reader.offset());
+        body.putObject("usage").put("completion_tokens", source.reader().offset());
         return body;
     }
 
     private void writeRest(OutputStream out, StringBuilder text) throws IOException {
         String start =
                 "{\"id\":"
-                        + ApiJson.MAPPER.writeValueAsString(reader.id().value())
+                        + ApiJson.MAPPER.writeValueAsString(source.reader().id().value())
                         + ",\"object\":\"text_completion\",\"model\":"
-                        + ApiJson.MAPPER.writeValueAsString(model)
+                        + ApiJson.MAPPER.writeValueAsString(source.model())
                         + ",\"choices\":[{\"index\":0,\"text\":\"";
         out.write(start.getBytes(StandardCharsets.UTF_8));
         try {
@@ -101,7 +87,7 @@
                             + ApiJson.MAPPER.writeValueAsString(
                                     EventStream.finishReason(batch.get()))
                             + "}],\"usage\":{\"completion_tokens\":"
-                            + reader.offset()
+                            + source.reader().offset()
                             + "}}";
             out.write(end.getBytes(StandardCharsets.UTF_8));
         } catch (RefusedException e) {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/ConnectionMemoryTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/ConnectionMemoryTests.java
@@ -57,9 +57,16 @@
             callers.add(caller);
         }
         while (server.frontend.openConnections() < count) {
-            Thread.sleep(10);
+            Thread.onSpinWait();
+        }
+        if (sent.contains("\r\n\r\n")) {
+            // The answer has arrived and is never read.
+            for (Socket caller : callers) {
+                while (caller.getInputStream().available() == 0) {
+                    Thread.onSpinWait();
+                }
+            }
         }
-        Thread.sleep(300);
     }
 
     private static long usedHeapBytes() {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -9,9 +9,11 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,6 +40,34 @@
                 });
     }
 
+    /** Creates an endpoint that sends events and ends its answer. */
+    private static ScriptedEndpoint streaming(String id, String zone, String seal, long... numbers)
+            throws IOException {
+        return new ScriptedEndpoint(
+                id,
+                zone,
+                (request, socket, out) ->
+                        write(out, streamHeader(request, seal) + events(numbers) + "0\r\n\r\n"));
+    }
+
+    private static String events(long... numbers) {
+        return Arrays.stream(numbers)
+                .mapToObj(ScriptedEndpoint::event)
+                .collect(Collectors.joining());
+    }
+
+    /** Creates an endpoint that breaks off after some events. */
+    private static ScriptedEndpoint breakingAfter(
+            String id, String zone, String seal, long... numbers) throws IOException {
+        return new ScriptedEndpoint(
+                id,
+                zone,
+                (request, socket, out) -> {
+                    write(out, streamHeader(request, seal) + events(numbers));
+                    throw new IOException("breaks off");
+                });
+    }
+
     private static int status(String answer) {
         return Integer.parseInt(answer.substring(9, 12));
     }
@@ -182,16 +212,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"/read/", "/order/", "/stream/"})
     void requestWaitsForThePlanAndTheEndpointsOfAStartedInstance(String path) throws Exception {
-        try (ScriptedEndpoint endpoint =
-                        new ScriptedEndpoint(
-                                "e1",
-                                "z1",
-                                (request, socket, out) ->
-                                        write(
-                                                out,
-                                                streamHeader(request, "s")
-                                                        + event(1)
-                                                        + "0\r\n\r\n"));
+        try (ScriptedEndpoint endpoint = streaming("e1", "z1", "s", 1);
                 RelayWorld world = new RelayWorld(endpoint).withoutEndpoints()) {
             world.later(100, world::withPlan);
             world.later(200, world::withEndpoints);
@@ -236,17 +257,7 @@
                                                     + cut.substring(0, cut.length() - 4));
                                     throw new IOException("breaks off within an event");
                                 });
-                ScriptedEndpoint second =
-                        new ScriptedEndpoint(
-                                "e2",
-                                "z2",
-                                (request, socket, out) ->
-                                        write(
-                                                out,
-                                                streamHeader(request, "second")
-                                                        + event(3)
-                                                        + event(4)
-                                                        + "0\r\n\r\n"));
+                ScriptedEndpoint second = streaming("e2", "z2", "second", 3, 4);
                 RelayWorld world = new RelayWorld(first, second).withPlan()) {
             String answer = world.call("POST", "/stream/", "p");
             assertThat(answer).contains("Sapphire-Seal: first").doesNotContain("second");
@@ -277,14 +288,7 @@
 
     @Test
     void streamIsReadAgainWhereItsCopyIsMissing() throws Exception {
-        try (ScriptedEndpoint first =
-                        new ScriptedEndpoint(
-                                "e1",
-                                "z1",
-                                (request, socket, out) -> {
-                                    write(out, streamHeader(request, "first") + event(1));
-                                    throw new IOException("breaks off");
-                                });
+        try (ScriptedEndpoint first = breakingAfter("e1", "z1", "first", 1);
                 ScriptedEndpoint second =
                         new ScriptedEndpoint(
                                 "e2",
@@ -323,16 +327,7 @@
                                     write(out, streamHeader(request, "first") + event(1));
                                     Thread.currentThread().join(20_000);
                                 });
-                ScriptedEndpoint second =
-                        new ScriptedEndpoint(
-                                "e2",
-                                "z2",
-                                (request, socket, out) ->
-                                        write(
-                                                out,
-                                                streamHeader(request, "second")
-                                                        + event(2)
-                                                        + "0\r\n\r\n"));
+                ScriptedEndpoint second = streaming("e2", "z2", "second", 2);
                 RelayWorld world = new RelayWorld(first, second).withPlan()) {
             assertThat(dataOf(world.call("POST", "/stream/", "p"))).isEqualTo("e1e2");
         }
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/engine/EngineCommand.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/engine/EngineCommand.java
@@ -1,7 +1,6 @@
 package io.sapphirestack.standins.engine;
 
 import io.sapphirestack.core.record.ModelPin;
-import io.sapphirestack.standins.support.Announcer;
 import io.sapphirestack.standins.support.EntryArguments;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -69,17 +68,8 @@
                         arguments.getString("weights"),
                         () -> Runtime.getRuntime().halt(KILLED));
         injectFaults(engine.faults(), arguments);
-        String id = arguments.getString("id");
-        LOG.infof("SAP4001 engine %s listens on %s", id, engine.address());
-        if (!arguments.getString("entry").isEmpty()) {
-            String service = arguments.getString("service");
-            String zone = arguments.getString("zone");
-            new Announcer(
-                            EntryArguments.addressBook(arguments),
-                            arguments.getString("key"),
-                            sequence -> engine.announcement(id, service, zone, sequence))
-                    .start(arguments.getLong("announce_ms"));
-        }
+        LOG.infof("SAP4001 engine %s listens on %s", arguments.getString("id"), engine.address());
+        EntryArguments.announce(arguments, engine::announcement);
         return 0;
     }
 
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/service/ServiceCommand.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/service/ServiceCommand.java
@@ -1,6 +1,5 @@
 package io.sapphirestack.standins.service;
 
-import io.sapphirestack.standins.support.Announcer;
 import io.sapphirestack.standins.support.EntryArguments;
 import java.io.IOException;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -49,17 +48,10 @@
         server.faults().delay(arguments.getLong("delay_ms"));
         server.faults().dropAnswers(arguments.getInt("drop_answers"));
         server.faults().refuseOrders(arguments.getInt("refuse_orders"));
-        String id = arguments.getString("id");
-        LOG.infof("SAP4001 plain service %s listens on %s", id, server.address());
-        if (!arguments.getString("entry").isEmpty()) {
-            String service = arguments.getString("service");
-            String zone = arguments.getString("zone");
-            new Announcer(
-                            EntryArguments.addressBook(arguments),
-                            arguments.getString("key"),
-                            sequence -> server.announcement(id, service, zone, sequence))
-                    .start(arguments.getLong("announce_ms"));
-        }
+        LOG.infof(
+                "SAP4001 plain service %s listens on %s",
+                arguments.getString("id"), server.address());
+        EntryArguments.announce(arguments, server::announcement);
         return 0;
     }
 }
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/support/EntryArguments.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/support/EntryArguments.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.standins.support;
 
+import io.sapphirestack.core.membership.EndpointAnnouncement;
 import io.sapphirestack.core.time.MillisClock;
 import java.util.Arrays;
 import java.util.List;
@@ -29,6 +30,42 @@
         parser.addArgument("--announce-ms").type(Long.class).setDefault(1_000L);
     }
 
+    /** Makes the announcement of an endpoint. */
+    @FunctionalInterface
+    public interface AnnouncementSource {
+
+        /**
+         * Makes an announcement.
+         *
+         * @param id name of the endpoint
+         * @param service name of the service
+         * @param zone availability zone
+         * @param sequence sequence number
+         * @return the announcement
+         */
+        EndpointAnnouncement announcement(String id, String service, String zone, long sequence);
+    }
+
+    /**
+     * Starts to announce the endpoint if the arguments name instances.
+     *
+     * @param arguments parsed arguments
+     * @param source makes the announcements
+     */
+    public static void announce(Namespace arguments, AnnouncementSource source) {
+        if (arguments.getString("entry").isEmpty()) {
+            return;
+        }
+        String id = arguments.getString("id");
+        String service = arguments.getString("service");
+        String zone = arguments.getString("zone");
+        new Announcer(
+                        addressBook(arguments),
+                        arguments.getString("key"),
+                        sequence -> source.announcement(id, service, zone, sequence))
+                .start(arguments.getLong("announce_ms"));
+    }
+
     /**
      * Creates the address book of the endpoint.
      *
