--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -7,6 +7,7 @@
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.limit.AccountUsageTable;
+import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.core.limit.RetryUsageTable;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.relay.CallerLimits;
@@ -96,6 +97,7 @@
     private final LocalVoter localVoter;
     private final InFlightTracker inFlight;
     private final FleetRetryBudget retryBudget;
+    private final ByteBudget messageMemory;
     private final EndpointRegistry endpointRegistry;
     private final DisseminationService dissemination;
     private final TrafficPlanStore trafficPlans;
@@ -140,6 +142,7 @@
                         this::liveInstanceCount,
                         service -> disseminationParts.retryBudgetUse().read().of(service),
                         clock);
+        this.messageMemory = new ByteBudget(settings.messages().memoryBytes());
         this.endpointRegistry =
                 new EndpointRegistry(
                         blackboard.endpoints(), name -> Optional.empty(), new PrefixIndex(), clock);
@@ -153,6 +156,7 @@
                         settings.maxConnections(),
                         relay,
                         this::callerLimits,
+                        messageMemory,
                         clock);
         registerGauges();
         this.watcher = createWatcher();
@@ -234,6 +238,7 @@
                 health,
                 inFlight,
                 retryBudget,
+                settings.messages().responseLimits(),
                 metrics,
                 clock);
     }
@@ -251,6 +256,10 @@
                 "sapphire_caller_connections",
                 "Open connections of callers.",
                 callerListener::openConnections);
+        metrics.registerGauge(
+                "sapphire_message_memory_bytes",
+                "Memory of the requests and responses that this instance holds, in bytes.",
+                messageMemory::reservedBytes);
         metrics.registerGauge(
                 "sapphire_peer_transferred_bytes",
                 "Bytes sent to and received from other instances.",
@@ -359,6 +368,11 @@
         return metrics;
     }
 
+    /** Returns the memory for the requests and responses of all listeners. */
+    public ByteBudget messageMemory() {
+        return messageMemory;
+    }
+
     /** Returns the monotonic clock of this instance. */
     public MillisClock clock() {
         return clock;
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayLifecycle.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayLifecycle.java
@@ -128,6 +128,7 @@
 
     private synchronized void tick() {
         ticks++;
+        relay.closeOverdueSends();
         if (ticks % TICKS_PER_SWEEP == 0) {
             relay.sweep();
         }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelaySettings.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelaySettings.java
@@ -20,6 +20,7 @@
  * @param callerListen {@code host:port} on which callers connect
  * @param maxConnections maximum number of open connections of callers
  * @param retryBudget limits on the retries of the whole fleet
+ * @param messages limits on received messages and their memory
  * @param graceMs longest time from a termination signal to the end of the process, in milliseconds
  */
 public record RelaySettings(
@@ -33,6 +34,7 @@
         String callerListen,
         int maxConnections,
         FleetRetryBudget.Settings retryBudget,
+        MessageSettings messages,
         long graceMs) {
 
     /** Requires the components to be non-null. */
@@ -44,5 +46,6 @@
         Objects.requireNonNull(dataFolder, "dataFolder");
         Objects.requireNonNull(callerListen, "callerListen");
         Objects.requireNonNull(retryBudget, "retryBudget");
+        Objects.requireNonNull(messages, "messages");
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/WorkerPools.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/WorkerPools.java
@@ -47,6 +47,23 @@
         return pool(name, maxThreads, new SynchronousQueue<>());
     }
 
+    /**
+     * Ends an executor and waits for its running tasks.
+     *
+     * @param pool executor that accepts no further tasks
+     * @param timeoutMs longest wait in milliseconds
+     * @return whether all tasks have ended
+     */
+    public static boolean shutdown(ThreadPoolExecutor pool, long timeoutMs) {
+        pool.shutdown();
+        try {
+            return pool.awaitTermination(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     private static ThreadPoolExecutor pool(
             String name, int maxThreads, BlockingQueue<Runnable> queue) {
         AtomicLong number = new AtomicLong();
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/GuardedInputStream.java
@@ -0,0 +1,129 @@
+package io.sapphirestack.runtime.http;
+
+import io.sapphirestack.core.time.MillisClock;
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+
+/**
+ * Input of a socket on which every read has an end. While a guard is set, a read calls it about
+ * every {@link #CHECK_INTERVAL_MS}, also if single bytes keep arriving, and fails after a maximum
+ * number of bytes. Without a guard, reads behave as on the socket. Used by one thread at a time.
+ *
+ * <p>The timeout of the socket must be {@link #CHECK_INTERVAL_MS} while a guard is set, so that a
+ * read without data returns in time for the next check.
+ */
+public final class GuardedInputStream extends FilterInputStream {
+
+    /** Interval at which a read calls its guard, in milliseconds. */
+    public static final int CHECK_INTERVAL_MS = 50;
+
+    private final MillisClock clock = MillisClock.monotonic();
+    private Guard guard;
+    private long maxBytes;
+    private long readBytes;
+    private long checkedAtMs;
+    private boolean blocking = true;
+    private boolean endReached;
+
+    /** Decides whether a read continues to wait. */
+    @FunctionalInterface
+    public interface Guard {
+
+        /**
+         * Checks the read.
+         *
+         * @throws IOException if the read must end; the read throws this exception
+         */
+        void check() throws IOException;
+    }
+
+    GuardedInputStream(InputStream in) {
+        super(in);
+    }
+
+    /**
+     * Sets the guard of the next reads and resets the number of bytes read. The interval of the
+     * checks continues if another guard was set.
+     *
+     * @param next guard
+     * @param limitBytes number of bytes after which a read fails
+     */
+    public void guard(Guard next, long limitBytes) {
+        if (guard == null) {
+            checkedAtMs = clock.nowMs();
+        }
+        guard = next;
+        maxBytes = limitBytes;
+        readBytes = 0;
+    }
+
+    /** Removes the guard. */
+    public void clearGuard() {
+        guard = null;
+    }
+
+    /**
+     * Returns whether the peer has ended its side of the connection. A head or a chunked body whose
+     * reader has reached this end is truncated, although the HTTP library accepts it.
+     */
+    public boolean isEndReached() {
+        return endReached;
+    }
+
+    /**
+     * Selects whether a read waits for data. A read that does not wait fails as if the timeout of
+     * the socket had passed.
+     *
+     * @param wait whether to wait
+     */
+    public void setBlocking(boolean wait) {
+        blocking = wait;
+    }
+
+    @Override
+    public int read() throws IOException {
+        byte[] single = new byte[1];
+        return read(single, 0, 1) < 0 ? -1 : single[0] & 0xFF;
+    }
+
+    @Override
+    public int read(byte[] buffer, int offset, int length) throws IOException {
+        if (!blocking && in.available() == 0) {
+            throw new SocketTimeoutException("no data is available");
+        }
+        if (guard == null) {
+            return in.read(buffer, offset, length);
+        }
+        while (true) {
+            checkIfDue();
+            try {
+                int count = in.read(buffer, offset, length);
+                countBytes(count);
+                return count;
+            } catch (SocketTimeoutException e) {
+                checkNow();
+            }
+        }
+    }
+
+    private void checkIfDue() throws IOException {
+        if (clock.nowMs() - checkedAtMs >= CHECK_INTERVAL_MS) {
+            checkNow();
+        }
+    }
+
+    private void checkNow() throws IOException {
+        checkedAtMs = clock.nowMs();
+        guard.check();
+    }
+
+    private void countBytes(int count) throws MessageLimitException {
+        endReached = count < 0;
+        readBytes += Math.max(0, count);
+        if (readBytes > maxBytes) {
+            throw new MessageLimitException(MessageLimit.HEAD, maxBytes);
+        }
+    }
+}
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpConnection.java
@@ -25,7 +25,7 @@
     private final TrackedSocket socket;
     private final DefaultBHttpServerConnection connection;
     private final Runnable onClose;
-    private volatile boolean handlingRequest;
+    private final RequestTurn turn = new RequestTurn();
 
     HttpConnection(HttpService service, Http1Config config, TrackedSocket socket, Runnable onClose)
             throws IOException {
@@ -43,10 +43,8 @@
     public void run() {
         try {
             HttpCoreContext context = HttpCoreContext.create();
-            context.setAttribute(HttpFrontend.CONNECTION_ATTRIBUTE, this);
-            while (connection.isOpen()) {
+            while (connection.isOpen() && awaitRequest()) {
                 service.handleRequest(connection, context);
-                handlingRequest = false;
             }
         } catch (IOException | HttpException e) {
             // The caller closed the connection or sent invalid HTTP, so no response can be sent.
@@ -60,12 +58,19 @@
         }
     }
 
-    void onRequestStarted() {
-        handlingRequest = true;
+    /**
+     * Waits for the next request; returns whether its first bytes arrive before the idle timeout.
+     */
+    private boolean awaitRequest() throws IOException {
+        boolean available =
+                turn.tryBeginWait()
+                        && connection.isDataAvailable(Timeout.ofMilliseconds(IDLE_TIMEOUT_MS));
+        return turn.tryBeginRequest() && available;
     }
 
+    /** Closes the connection if no request is being served or has arrived. */
     void closeIfIdle() {
-        if (!handlingRequest) {
+        if (!socket.hasUnreadInput() && turn.tryClose()) {
             connection.close(CloseMode.IMMEDIATE);
         }
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
@@ -28,8 +28,6 @@
  */
 public final class HttpFrontend implements Closeable {
 
-    static final String CONNECTION_ATTRIBUTE = "sapphire.connection";
-
     private static final EventLog LOG = EventLog.of(HttpFrontend.class);
 
     // The connection of a caller that reads nothing for this long is closed. The caller can resume
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/MessageLimit.java
@@ -0,0 +1,23 @@
+package io.sapphirestack.runtime.http;
+
+/** Limit on a part of a received HTTP message. The names appear in log events. */
+public enum MessageLimit {
+
+    /** Bytes of one line of a head, of chunk framing or of a trailer. */
+    LINE,
+
+    /** Bytes or fields of a head. */
+    HEAD,
+
+    /** Number of interim heads before a response. */
+    INTERIM_HEADS,
+
+    /** Bytes of a body. */
+    BODY,
+
+    /** Bytes of one event of a stream. */
+    EVENT,
+
+    /** Memory for the messages that the instance holds at the same time. */
+    MEMORY
+}
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
@@ -57,8 +57,6 @@
     @Override
     public void handle(ClassicHttpRequest request, ResponseTrigger trigger, HttpContext context)
             throws HttpException, IOException {
-        ((HttpConnection) context.getAttribute(HttpFrontend.CONNECTION_ATTRIBUTE))
-                .onRequestStarted();
         openRequestCount.incrementAndGet();
         long startedAtMs = services.clock().nowMs();
         String route = "none";
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/TrackedSocket.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/TrackedSocket.java
@@ -1,19 +1,24 @@
 package io.sapphirestack.runtime.http;
 
+import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.FilterOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
 
 /**
- * Socket that measures the duration of its current write. Blocking writes have no timeout, so a
- * caller that never reads would block its thread forever; the duration lets another thread close
- * the socket. As thread-safe as {@link Socket}.
+ * Socket that measures the duration of its current write, and whose reads can be guarded. Blocking
+ * writes have no timeout, so a peer that never reads would block its thread forever; the duration
+ * lets another thread close the socket. As thread-safe as {@link Socket}.
  */
 public final class TrackedSocket extends Socket {
 
+    private static final EventLog LOG = EventLog.of(TrackedSocket.class);
+
     private volatile long writeStartedNanos;
     private volatile boolean writeInProgress;
+    private GuardedInputStream input;
 
     /** Returns the duration of the current write in milliseconds; 0 if no write is in progress. */
     public long writeDurationMs() {
@@ -21,6 +26,33 @@
         return writeInProgress ? (System.nanoTime() - startedNanos) / 1_000_000 : 0;
     }
 
+    /**
+     * Returns the input of the connected socket.
+     *
+     * @throws IOException if the socket is not connected or closed
+     */
+    public synchronized GuardedInputStream guardedInput() throws IOException {
+        if (input == null) {
+            input = new GuardedInputStream(super.getInputStream());
+        }
+        return input;
+    }
+
+    /** Returns whether bytes have arrived that were not read; false if the socket has failed. */
+    public boolean hasUnreadInput() {
+        try {
+            return guardedInput().available() > 0;
+        } catch (IOException e) {
+            LOG.debug("SAP1208", "A connection failed before it was closed", "cause", e);
+            return false;
+        }
+    }
+
+    @Override
+    public InputStream getInputStream() throws IOException {
+        return guardedInput();
+    }
+
     @Override
     public OutputStream getOutputStream() throws IOException {
         return new TrackedOutputStream(super.getOutputStream());
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
@@ -1,19 +1,25 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.http.BoundedBuffer;
+import io.sapphirestack.runtime.http.GuardedInputStream;
+import io.sapphirestack.runtime.http.MessageLimit;
+import io.sapphirestack.runtime.http.MessageLimitException;
+import io.sapphirestack.runtime.http.RequestTurn;
 import io.sapphirestack.runtime.http.TrackedSocket;
 import io.sapphirestack.runtime.metrics.EventLog;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.nio.charset.StandardCharsets;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
@@ -36,15 +42,34 @@
 
     private static final int READ_CHUNK_BYTES = 4_096;
 
+    /**
+     * Bytes that a read of a head may take beyond its limit, because the library reads ahead and
+     * the limit does not count the method and the protocol version.
+     */
+    private static final int READ_AHEAD_BYTES = 2 * READ_CHUNK_BYTES;
+
+    /**
+     * Time for which a stopping instance waits for a request on an open connection, in
+     * milliseconds. A request that a caller sent before it noticed the stop arrives within this
+     * time and is answered.
+     */
+    private static final long STOP_LINGER_MS = 300;
+
+    /** Time for which the rest of a rejected request is read, in milliseconds. */
+    private static final long DISCARD_MS = 300;
+
+    /** Retry-After of a request that found no memory, in milliseconds. */
+    private static final long MEMORY_RETRY_AFTER_MS = 1_000;
+
     private final DefaultBHttpServerConnection connection;
     private final TrackedSocket socket;
     private final HttpServerExchange.Handler handler;
     private final CallerLimits limits;
     private final BooleanSupplier stopping;
     private final MillisClock clock;
+    private final ByteBudget memory;
     private final Runnable onClosed;
-    private volatile long headerStartedAtMs = -1;
-    private volatile boolean idle;
+    private final RequestTurn turn = new RequestTurn();
 
     CallerConnection(
             TrackedSocket socket,
@@ -52,6 +77,7 @@
             HttpServerExchange.Handler handler,
             CallerLimits limits,
             BooleanSupplier stopping,
+            ByteBudget memory,
             MillisClock clock,
             Runnable onClosed)
             throws IOException {
@@ -59,6 +85,7 @@
         this.handler = handler;
         this.limits = limits;
         this.stopping = stopping;
+        this.memory = memory;
         this.clock = clock;
         this.onClosed = onClosed;
         this.connection = new DefaultBHttpServerConnection("http", config);
@@ -86,60 +113,86 @@
     }
 
     /**
-     * Waits for the next request; returns whether its first bytes arrive before the idle timeout.
+     * Waits for the next request; returns whether its first bytes arrive before the idle timeout. A
+     * stopping instance waits only for requests that are already on their way.
      */
     private boolean awaitRequest() throws IOException {
-        idle = true;
-        try {
-            // Another thread closes the connection on a stop, so this wait need not poll.
-            return !stopping.getAsBoolean()
-                    && connection.isDataAvailable(Timeout.ofMilliseconds(limits.idleTimeoutMs()));
-        } finally {
-            idle = false;
+        long timeoutMs = stopping.getAsBoolean() ? STOP_LINGER_MS : limits.idleTimeoutMs();
+        if (!turn.tryBeginWait()) {
+            return false;
         }
+        // Another thread closes the connection on a stop, so this wait need not poll.
+        boolean available = connection.isDataAvailable(Timeout.ofMilliseconds(timeoutMs));
+        return turn.tryBeginRequest() && available;
     }
 
-    /** Closes the connection if no request is being served. */
+    /**
+     * Closes the connection if no request is being served or has arrived. Called by another thread.
+     */
     void closeIfIdle() {
-        if (idle) {
+        if (!socket.hasUnreadInput() && turn.tryClose()) {
             connection.close(CloseMode.GRACEFUL);
         }
     }
 
     /** Serves one request; returns whether the connection stays open for another one. */
     private boolean serveRequest() throws IOException, HttpException {
-        headerStartedAtMs = clock.nowMs();
-        connection.setSocketTimeout(Timeout.ofMilliseconds(limits.headerTimeoutMs()));
-        ClassicHttpRequest request;
+        connection.setSocketTimeout(Timeout.ofMilliseconds(GuardedInputStream.CHECK_INTERVAL_MS));
+        try (ByteBudget.Lease lease = memory.newLease()) {
+            Optional<CallerExchange> exchange = receiveRequest(lease);
+            if (exchange.isEmpty()) {
+                return false;
+            }
+            handler.handle(exchange.get());
+            return exchange.get().keepAlive && connection.isOpen();
+        }
+    }
+
+    /** Receives a whole request; sends the rejection of one that is invalid or above a limit. */
+    private Optional<CallerExchange> receiveRequest(ByteBudget.Lease lease)
+            throws IOException, HttpException {
         try {
-            request = connection.receiveRequestHeader();
+            guardRead(limits.headerTimeoutMs(), (long) limits.headerBytes() + READ_AHEAD_BYTES);
+            ClassicHttpRequest request = connection.receiveRequestHeader();
+            if (request == null || socket.guardedInput().isEndReached()) {
+                // The library accepts a head that ends with the connection; its rest is unknown.
+                return Optional.empty();
+            }
+            Optional<RequestChecks.Rejection> rejection = RequestChecks.check(request, limits);
+            if (rejection.isPresent()) {
+                reject(rejection.get());
+                return Optional.empty();
+            }
+            // A body may take as long as a connection may be idle, however slowly it arrives.
+            guardRead(limits.idleTimeoutMs(), Long.MAX_VALUE);
+            byte[] body = readBody(request, lease);
+            return Optional.of(new CallerExchange(request, body, lease, clock.nowMs()));
         } catch (MessageConstraintException e) {
             reject(new RequestChecks.Rejection(431, "the header is too large"));
-            return false;
+        } catch (MessageLimitException e) {
+            rejectAboveLimit(e.limit());
         } catch (HttpException e) {
             reject(new RequestChecks.Rejection(400, "the request cannot be read"));
-            return false;
-        }
-        headerStartedAtMs = -1;
-        if (request == null) {
-            return false;
-        }
-        Optional<RequestChecks.Rejection> rejection = RequestChecks.check(request, limits);
-        if (rejection.isPresent()) {
-            reject(rejection.get());
-            return false;
-        }
-        Optional<byte[]> body = readBody(request);
-        if (body.isEmpty()) {
-            reject(new RequestChecks.Rejection(413, "the body is too large"));
-            return false;
+        } finally {
+            socket.guardedInput().clearGuard();
         }
-        CallerExchange exchange = new CallerExchange(request, body.get(), clock.nowMs());
-        handler.handle(exchange);
-        return exchange.keepAlive && connection.isOpen();
+        return Optional.empty();
     }
 
-    private Optional<byte[]> readBody(ClassicHttpRequest request)
+    private void guardRead(long timeoutMs, long maxBytes) throws IOException {
+        long endsAtMs = clock.nowMs() + timeoutMs;
+        socket.guardedInput()
+                .guard(
+                        () -> {
+                            if (clock.nowMs() >= endsAtMs) {
+                                throw new SocketTimeoutException(
+                                        "the request did not arrive within " + timeoutMs + " ms");
+                            }
+                        },
+                        maxBytes);
+    }
+
+    private byte[] readBody(ClassicHttpRequest request, ByteBudget.Lease lease)
             throws IOException, HttpException {
         if (request.containsHeader(HttpHeaders.EXPECT)) {
             connection.sendResponseHeader(new BasicClassicHttpResponse(100));
@@ -148,26 +201,60 @@
         connection.receiveRequestEntity(request);
         HttpEntity entity = request.getEntity();
         if (entity == null) {
-            return Optional.of(new byte[0]);
+            return new byte[0];
         }
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        BoundedBuffer body = new BoundedBuffer(lease, MessageLimit.BODY, limits.bodyBytes());
         byte[] chunk = new byte[READ_CHUNK_BYTES];
-        try (InputStream in = entity.getContent()) {
-            for (int read = in.read(chunk); read >= 0; read = in.read(chunk)) {
-                body.write(chunk, 0, read);
-                if (body.size() > limits.bodyBytes()) {
-                    return Optional.empty();
-                }
-            }
+        InputStream in = entity.getContent();
+        for (int read = in.read(chunk); read >= 0; read = in.read(chunk)) {
+            body.append(chunk, 0, read);
+        }
+        if (socket.guardedInput().isEndReached()) {
+            throw new ConnectionClosedException("the caller closed the connection too early");
+        }
+        return body.detach();
+    }
+
+    private void rejectAboveLimit(MessageLimit limit) throws IOException, HttpException {
+        switch (limit) {
+            case BODY -> reject(new RequestChecks.Rejection(413, "the body is too large"));
+            case MEMORY ->
+                    sendAndClose(
+                            RelayResponse.notRun(
+                                    "the instance has no memory for the request",
+                                    MEMORY_RETRY_AFTER_MS));
+            default -> reject(new RequestChecks.Rejection(431, "the header is too large"));
         }
-        return Optional.of(body.toByteArray());
     }
 
     private void reject(RequestChecks.Rejection rejection) throws IOException, HttpException {
-        byte[] body = rejection.reason().getBytes(StandardCharsets.UTF_8);
+        sendAndClose(RelayResponse.generated(rejection.status(), rejection.reason()));
+    }
+
+    private void sendAndClose(RelayResponse rejection) throws IOException, HttpException {
         ClassicHttpResponse response = new BasicClassicHttpResponse(rejection.status());
+        rejection.headers().forEach(field -> response.addHeader(field.name(), field.value()));
         response.setHeader(HttpHeaders.CONNECTION, "close");
-        send(response, body);
+        send(response, rejection.body());
+        discardRest();
+    }
+
+    /**
+     * Reads what the caller still sends, for a short time. Closing a connection with unread bytes
+     * resets it, and the caller could lose the response.
+     */
+    private void discardRest() throws IOException {
+        socket.shutdownOutput();
+        GuardedInputStream input = socket.guardedInput();
+        byte[] chunk = new byte[READ_CHUNK_BYTES];
+        guardRead(DISCARD_MS, Long.MAX_VALUE);
+        try {
+            while (input.read(chunk, 0, chunk.length) >= 0) {
+                LOG.debug("SAP1927", "Bytes after a rejected request were discarded");
+            }
+        } catch (SocketTimeoutException e) {
+            LOG.debug("SAP1902", "A connection of a caller failed", "cause", e);
+        }
     }
 
     private void send(ClassicHttpResponse response, byte[] body) throws IOException, HttpException {
@@ -179,15 +266,12 @@
     }
 
     /**
-     * Closes the connection if receiving a header or a single write takes too long.
+     * Closes the connection if a single write takes too long.
      *
      * @param writeTimeoutMs longest time for one write, in milliseconds
      */
-    void closeIfTimedOut(long writeTimeoutMs) {
-        long startedAtMs = headerStartedAtMs;
-        boolean headerOverdue =
-                startedAtMs >= 0 && clock.nowMs() - startedAtMs > limits.headerTimeoutMs();
-        if (headerOverdue || socket.writeDurationMs() > writeTimeoutMs) {
+    void closeIfWriteTimedOut(long writeTimeoutMs) {
+        if (socket.writeDurationMs() > writeTimeoutMs) {
             connection.close(CloseMode.IMMEDIATE);
         }
     }
@@ -201,13 +285,19 @@
 
         private final ClassicHttpRequest request;
         private final byte[] body;
+        private final ByteBudget.Lease lease;
         private final long receivedAtMs;
         private final List<HeaderField> headers = new ArrayList<>();
         private boolean keepAlive = true;
 
-        CallerExchange(ClassicHttpRequest request, byte[] body, long receivedAtMs) {
+        CallerExchange(
+                ClassicHttpRequest request,
+                byte[] body,
+                ByteBudget.Lease lease,
+                long receivedAtMs) {
             this.request = request;
             this.body = body;
+            this.lease = lease;
             this.receivedAtMs = receivedAtMs;
             for (Header header : request.getHeaders()) {
                 String value = header.getValue() == null ? "" : header.getValue();
@@ -235,7 +325,12 @@
 
         @Override
         public byte[] body() {
-            return body.clone();
+            return body;
+        }
+
+        @Override
+        public ByteBudget.Lease memory() {
+            return lease;
         }
 
         @Override
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/EventParser.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/EventParser.java
@@ -1,6 +1,9 @@
 package io.sapphirestack.runtime.relay;
 
-import java.io.ByteArrayOutputStream;
+import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.runtime.http.BoundedBuffer;
+import io.sapphirestack.runtime.http.MessageLimit;
+import io.sapphirestack.runtime.http.MessageLimitException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,11 +11,25 @@
 
 /**
  * Splits the bytes of a stream of server-sent events into whole events. It holds back an incomplete
- * event, because the endpoint may fail before the rest arrives. Not thread-safe.
+ * event, because the endpoint may fail before the rest arrives. Comments and blank lines are not
+ * events of their own; they are passed on with the event that follows them. Not thread-safe.
  */
 final class EventParser {
 
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private final BoundedBuffer pending;
+    private int lineLength;
+    private boolean lineIsComment;
+    private boolean hasField;
+
+    /**
+     * Creates a parser.
+     *
+     * @param memory memory of an incomplete event
+     * @param maxEventBytes maximum size of one event with the comments before it, in bytes
+     */
+    EventParser(ByteBudget.Lease memory, int maxEventBytes) {
+        this.pending = new BoundedBuffer(memory, MessageLimit.EVENT, maxEventBytes);
+    }
 
     /**
      * Complete event.
@@ -28,32 +45,57 @@
      * @param buffer received bytes
      * @param length number of bytes in the buffer to parse
      * @return events that these bytes complete, in order, possibly none
+     * @throws MessageLimitException if an event exceeds its limit or the memory is exhausted
      */
-    List<Event> parse(byte[] buffer, int length) {
+    List<Event> parse(byte[] buffer, int length) throws MessageLimitException {
         List<Event> events = new ArrayList<>();
+        int start = 0;
         for (int i = 0; i < length; i++) {
-            pending.write(buffer[i]);
-            if (buffer[i] == '\n' && endsWithBlankLine()) {
-                byte[] bytes = pending.toByteArray();
-                pending.reset();
+            if (endsEvent(buffer[i])) {
+                pending.append(buffer, start, i + 1 - start);
+                start = i + 1;
+                byte[] bytes = pending.copy();
+                pending.clear();
                 events.add(new Event(idOf(bytes), bytes));
+                hasField = false;
             }
         }
+        pending.append(buffer, start, length - start);
         return events;
     }
 
-    /** Returns whether the last event is incomplete. */
+    /** Advances by one byte; returns whether it completes an event. */
+    private boolean endsEvent(byte next) {
+        if (next == '\r') {
+            return false;
+        }
+        if (next != '\n') {
+            if (lineLength == 0) {
+                lineIsComment = next == ':';
+            }
+            lineLength++;
+            return false;
+        }
+        boolean blankLine = lineLength == 0;
+        hasField |= !blankLine && !lineIsComment;
+        lineLength = 0;
+        return blankLine && hasField;
+    }
+
+    /** Returns whether an event has begun and is incomplete. */
     boolean hasPartialEvent() {
-        return pending.size() > 0;
+        return hasField || lineLength > 0 && !lineIsComment;
     }
 
-    private boolean endsWithBlankLine() {
-        byte[] bytes = pending.toByteArray();
-        int end = bytes.length;
-        if (end >= 2 && bytes[end - 2] == '\n') {
-            return true;
-        }
-        return end >= 4 && bytes[end - 2] == '\r' && bytes[end - 3] == '\n';
+    /**
+     * Returns the comments and blank lines after the last event, none if there are no such bytes.
+     */
+    Optional<Event> trailingComments() {
+        byte[] bytes = pending.copy();
+        pending.clear();
+        return bytes.length == 0
+                ? Optional.empty()
+                : Optional.of(new Event(Optional.empty(), bytes));
     }
 
     private static Optional<Long> idOf(byte[] bytes) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/HttpServerExchange.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/HttpServerExchange.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.limit.ByteBudget;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.List;
@@ -17,9 +18,18 @@
     /** Returns the header fields of the request in the order of arrival. */
     List<HeaderField> headers();
 
-    /** Returns the whole body of the request, of length 0 if there is none. */
+    /**
+     * Returns the whole body of the request, of length 0 if there is none. The array is not copied,
+     * so it must not be changed.
+     */
     byte[] body();
 
+    /**
+     * Returns the memory of the request and its response. It is released after the response was
+     * sent.
+     */
+    ByteBudget.Lease memory();
+
     /** Returns when the whole request had arrived, in milliseconds of the monotonic clock. */
     long receivedAtMs();
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/MeteredExchange.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/MeteredExchange.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.limit.ByteBudget;
 import java.io.IOException;
 import java.util.List;
 
@@ -37,6 +38,11 @@
         return exchange.body();
     }
 
+    @Override
+    public ByteBudget.Lease memory() {
+        return exchange.memory();
+    }
+
     @Override
     public long receivedAtMs() {
         return exchange.receivedAtMs();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -130,14 +130,10 @@
         }
         context.health().recordSelection(endpoint.id());
         context.metrics().recordAttempt(history.sentCount == 0 ? "first" : "repeat");
-        UpstreamConnection connection = pool.acquire(endpoint, remainingMs);
+        UpstreamConnection connection = pool.acquire(endpoint, request);
         try (DispatchPermit permit =
                 context.inFlight().begin(endpoint.id(), RelayWorkKind.REQUEST.weight())) {
-            connection.send(
-                    request.exchange().method(),
-                    request.exchange().target(),
-                    request.headersFor(endpoint, context.clock()),
-                    request.exchange().body());
+            connection.send(request, request.headersFor(endpoint, context.clock()));
             AttemptResult result = receiveResult(request, connection);
             pool.release(connection);
             return result;
@@ -152,25 +148,11 @@
         EndpointState endpoint = connection.endpoint();
         UpstreamConnection.WaitCheck check =
                 () -> request.checkActive(context.clock(), endpoint.address());
-        while (true) {
-            UpstreamResponseHead head = connection.receiveHead(check);
-            byte[] body = connection.readBody(check);
-            if (ResponseChecks.belongsTo(head, request)) {
-                boolean notRun = ResponseChecks.isNotRun(head, request.headers());
-                ResponseChecks.requireSeal(head, request.headers(), endpoint);
-                context.health().recordResponse(endpoint.id(), head.status() >= 500 && !notRun);
-                return new AttemptResult(
-                        new RelayResponse(head.status(), head.forwardedHeaders(), body, ""),
-                        notRun);
-            }
-            LOG.info(
-                    "SAP1911",
-                    "A late response to another request was discarded",
-                    "request",
-                    request.id(),
-                    "endpoint",
-                    endpoint.id());
-        }
+        UpstreamResponseHead head = ResponseChecks.receiveHead(connection, request, check);
+        byte[] body = connection.readBody(request.exchange().memory(), check);
+        boolean notRun = ResponseChecks.isNotRun(head, request.headers());
+        context.health().recordResponse(endpoint.id(), head.status() >= 500 && !notRun);
+        return new AttemptResult(RelayResponse.ofEndpoint(head, body), notRun);
     }
 
     private Optional<RelayResponse> handleResult(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -3,6 +3,7 @@
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
+import io.sapphirestack.core.relay.ResponseLimits;
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.routing.EndpointTable;
 import io.sapphirestack.core.routing.InFlightTracker;
@@ -22,6 +23,7 @@
  * @param health endpoint health as observed by this instance
  * @param inFlight requests of this instance in flight, by endpoint
  * @param retryBudget limits the retries of the whole fleet
+ * @param responseLimits limits on the responses of endpoints
  * @param metrics metrics of requests, attempts and resumed streams
  * @param clock monotonic clock
  */
@@ -33,6 +35,7 @@
         EndpointHealth health,
         InFlightTracker inFlight,
         FleetRetryBudget retryBudget,
+        ResponseLimits responseLimits,
         Metrics metrics,
         MillisClock clock) {
 
@@ -45,6 +48,7 @@
         Objects.requireNonNull(health, "health");
         Objects.requireNonNull(inFlight, "inFlight");
         Objects.requireNonNull(retryBudget, "retryBudget");
+        Objects.requireNonNull(responseLimits, "responseLimits");
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(clock, "clock");
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayListener.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayListener.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.concurrent.WorkerPools;
@@ -27,6 +28,12 @@
     /** Time after which a blocked write to a caller closes its connection, in milliseconds. */
     private static final long WRITE_TIMEOUT_MS = 10_000;
 
+    /**
+     * Time for which a listener that closes waits for responses that are being sent, in
+     * milliseconds.
+     */
+    private static final long RESPONSE_TIMEOUT_MS = 50;
+
     private static final long TIMEOUT_CHECK_INTERVAL_MS = 1_000;
     private static final int BUFFER_BYTES = 4_096;
     private static final int MAX_HEADER_FIELDS = 100;
@@ -35,6 +42,7 @@
     private final String name;
     private final HttpServerExchange.Handler handler;
     private final Supplier<CallerLimits> limits;
+    private final ByteBudget memory;
     private final MillisClock clock;
     private final ThreadPoolExecutor workers;
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
@@ -50,6 +58,7 @@
      *     immediately
      * @param handler handles the requests, in several threads at once
      * @param limits returns the limits that apply to new connections
+     * @param memory memory for the requests and responses of all listeners of this instance
      * @param clock monotonic clock
      * @throws ServiceException if the address cannot be bound
      */
@@ -59,11 +68,13 @@
             int maxConnections,
             HttpServerExchange.Handler handler,
             Supplier<CallerLimits> limits,
+            ByteBudget memory,
             MillisClock clock)
             throws ServiceException {
         this.name = Objects.requireNonNull(name, "name");
         this.handler = Objects.requireNonNull(handler, "handler");
         this.limits = Objects.requireNonNull(limits, "limits");
+        this.memory = Objects.requireNonNull(memory, "memory");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.workers = WorkerPools.createRejecting(name, maxConnections);
         this.server = TrackedServerSocket.bind(address);
@@ -82,14 +93,14 @@
     /**
      * Starts to accept connections.
      *
-     * @param scheduler runs the periodic check for connections that have timed out
+     * @param scheduler runs the periodic check for writes that have timed out
      */
     public void start(ScheduledExecutorService scheduler) {
         Thread acceptor = new Thread(this::acceptConnections, name + "-accept");
         acceptor.setDaemon(true);
         acceptor.start();
         scheduler.scheduleWithFixedDelay(
-                () -> connections.forEach(c -> c.closeIfTimedOut(WRITE_TIMEOUT_MS)),
+                () -> connections.forEach(c -> c.closeIfWriteTimedOut(WRITE_TIMEOUT_MS)),
                 TIMEOUT_CHECK_INTERVAL_MS,
                 TIMEOUT_CHECK_INTERVAL_MS,
                 TimeUnit.MILLISECONDS);
@@ -128,6 +139,7 @@
                         handler,
                         limits.get(),
                         stopping::get,
+                        memory,
                         clock,
                         () -> connections.remove(holder[0]));
         connections.add(holder[0]);
@@ -152,6 +164,8 @@
         } catch (IOException e) {
             LOG.warn("SAP1906", "Closing the server socket failed", "cause", e);
         }
+        drain();
+        WorkerPools.shutdown(workers, RESPONSE_TIMEOUT_MS);
         connections.forEach(CallerConnection::close);
         workers.shutdownNow();
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayResponse.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayResponse.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 
 /**
  * Complete response to a caller.
@@ -16,9 +17,27 @@
 record RelayResponse(int status, List<HeaderField> headers, byte[] body, String reason) {
 
     private static final int NOT_RUN = 503;
+
+    /** Statuses by which a response promises that the request has not run and will not run. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, NOT_RUN);
+
     private static final int OUTCOME_UNKNOWN = 502;
     private static final int TIMED_OUT = 504;
 
+    /**
+     * Returns the response of an endpoint that may have run the request. A status that would
+     * promise the caller that the request did not run is replaced, because the endpoint did not
+     * state that.
+     */
+    static RelayResponse ofEndpoint(UpstreamResponseHead head, byte[] body) {
+        return NOT_RUN_STATUSES.contains(head.status())
+                ? outcomeUnknown(
+                        "the endpoint responded "
+                                + head.status()
+                                + " without stating that the request did not run")
+                : new RelayResponse(head.status(), head.forwardedHeaders(), body, "");
+    }
+
     /** Returns a plain-text response whose body is the reason. */
     static RelayResponse generated(int status, String reason) {
         return new RelayResponse(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -122,10 +122,8 @@
             }
         }
         checkDeadline();
-        List<EventParser.Event> events = withoutDelivered(attempt.poll());
-        if (events.isEmpty() && !attempt.isComplete()) {
-            checkWait();
-        } else {
+        List<EventParser.Event> events = withoutDelivered(attempt.poll(this::checkWait));
+        if (!events.isEmpty() || attempt.isComplete()) {
             recordPause();
             if (firstResponse == null) {
                 firstResponse = attempt.response().orElseThrow();
@@ -286,7 +284,7 @@
     private UpstreamConnection connect(EndpointState endpoint) throws ServiceException {
         context.health().recordSelection(endpoint.id());
         try {
-            return pool.acquire(endpoint, request.remainingMs(context.clock()));
+            return pool.acquire(endpoint, request);
         } catch (UpstreamException e) {
             markFailed(endpoint);
             connectFailures++;
@@ -353,9 +351,8 @@
         }
         attempt.release(pool);
         attempt = null;
-        RelayResponse response =
-                new RelayResponse(head.status(), head.forwardedHeaders(), body, "");
         if (!notRun) {
+            RelayResponse response = RelayResponse.ofEndpoint(head, body);
             lastResponse = Optional.of(response);
             if (head.status() < 500 || !request.route().kind().isSafeToRetry()) {
                 throw new StreamFailedException(endpoint.address(), response);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
@@ -4,6 +4,7 @@
 import io.sapphirestack.core.routing.DispatchPermit;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.runtime.error.ServiceException;
+import io.sapphirestack.runtime.http.MessageLimitException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -20,7 +21,7 @@
     private final AttemptTarget target;
     private DispatchPermit permit;
     private final Optional<DispatchPermit> standbyPermit;
-    private final EventParser parser = new EventParser();
+    private final EventParser parser;
     private final byte[] buffer = new byte[BUFFER_BYTES];
     private UpstreamResponseHead response;
     private boolean complete;
@@ -35,6 +36,8 @@
         this.request = request;
         this.connection = connection;
         this.target = target;
+        this.parser =
+                new EventParser(request.exchange().memory(), context.responseLimits().eventBytes());
         this.permit =
                 begin(
                         target.endpoint(),
@@ -68,11 +71,7 @@
             throws UpstreamException {
         StreamAttempt attempt = new StreamAttempt(context, request, connection, target);
         try {
-            connection.send(
-                    request.exchange().method(),
-                    request.exchange().target(),
-                    headers(context, request, target),
-                    request.exchange().body());
+            connection.send(request, headers(context, request, target));
             return attempt;
         } catch (UpstreamException e) {
             attempt.close();
@@ -119,30 +118,28 @@
         return complete;
     }
 
-    /** Waits for the head of the response to this request; discards responses to other requests. */
+    /** Waits for the head of the response to this request. */
     UpstreamResponseHead receiveHead(UpstreamConnection.WaitCheck check) throws ServiceException {
-        while (response == null) {
-            UpstreamResponseHead next = connection.receiveHead(check);
-            if (ResponseChecks.belongsTo(next, request)) {
-                ResponseChecks.requireSeal(next, request.headers(), endpoint());
-                response = next;
-            } else {
-                connection.readBody(check);
-            }
-        }
+        response = ResponseChecks.receiveHead(connection, request, check);
         return response;
     }
 
     byte[] readBody(UpstreamConnection.WaitCheck check) throws ServiceException {
         complete = true;
-        return connection.readBody(check);
+        return connection.readBody(request.exchange().memory(), check);
     }
 
-    /** Reads bytes that have arrived; returns the events that they complete, possibly none. */
-    List<EventParser.Event> poll() throws UpstreamException {
-        int read = connection.read(buffer);
+    /**
+     * Waits for the next bytes.
+     *
+     * @param check decides whether the wait continues
+     * @return the events that the bytes complete, possibly none
+     * @throws ServiceException if the check ends the wait, or the stream breaks off
+     */
+    List<EventParser.Event> poll(UpstreamConnection.WaitCheck check) throws ServiceException {
+        int read = connection.read(buffer, check);
         if (read >= 0) {
-            List<EventParser.Event> events = parser.parse(buffer, read);
+            List<EventParser.Event> events = parse(read);
             if (!eventReceived && !events.isEmpty()) {
                 eventReceived = true;
                 permit.close();
@@ -159,7 +156,15 @@
                     null);
         }
         complete = true;
-        return List.of();
+        return parser.trailingComments().stream().toList();
+    }
+
+    private List<EventParser.Event> parse(int length) throws UpstreamException {
+        try {
+            return parser.parse(buffer, length);
+        } catch (MessageLimitException e) {
+            throw connection.limitExceeded(e.limit(), e);
+        }
     }
 
     /** Ends the attempt; the pool keeps the connection only after a complete response. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -39,7 +39,7 @@
      */
     public TrafficRelay(RelayContext context) {
         this.context = Objects.requireNonNull(context, "context");
-        this.pool = new UpstreamPool(context.clock());
+        this.pool = new UpstreamPool(context.responseLimits(), context.clock());
         this.startupWaiter = new StartupWaiter(context.clock(), refusing::get);
         this.plainRelay = new PlainRelay(context, pool, startupWaiter);
         this.streamRelay = new StreamRelay(context, pool, startupWaiter);
@@ -64,6 +64,13 @@
         context.health().retain(context.endpoints().get().byId().keySet());
     }
 
+    /**
+     * Ends the sends to endpoints whose request has passed its deadline. Called about every 100 ms.
+     */
+    public void closeOverdueSends() {
+        pool.closeOverdueSends();
+    }
+
     @Override
     public void handle(HttpServerExchange exchange) throws IOException {
         openRequests.incrementAndGet();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamPool.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamPool.java
@@ -1,11 +1,13 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.relay.ResponseLimits;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.time.MillisClock;
 import java.util.Deque;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.atomic.LongAdder;
@@ -30,13 +32,17 @@
 
     private static final int MAX_IDLE_PER_ENDPOINT = 8;
 
-    private final MillisClock clock;
+    private final UpstreamConnection.Environment environment;
     private final Map<PoolKey, Deque<UpstreamConnection>> idleConnections =
             new ConcurrentHashMap<>();
     private final LongAdder openedConnections = new LongAdder();
 
-    UpstreamPool(MillisClock clock) {
-        this.clock = Objects.requireNonNull(clock, "clock");
+    UpstreamPool(ResponseLimits limits, MillisClock clock) {
+        this.environment =
+                new UpstreamConnection.Environment(
+                        Objects.requireNonNull(limits, "limits"),
+                        ConcurrentHashMap.newKeySet(),
+                        Objects.requireNonNull(clock, "clock"));
     }
 
     private record PoolKey(EndpointId id, long epochMs) {}
@@ -50,18 +56,40 @@
         return openedConnections.sum();
     }
 
-    UpstreamConnection acquire(EndpointState endpoint, long timeoutMs) throws UpstreamException {
+    /**
+     * Returns a connection for a request. A request without an identifier gets a new one, because a
+     * late response to an earlier request could not be distinguished from its own.
+     *
+     * @throws UpstreamException if the endpoint cannot be reached; nothing was sent then
+     */
+    UpstreamConnection acquire(EndpointState endpoint, RelayedRequest request)
+            throws UpstreamException {
+        Optional<UpstreamConnection> idle =
+                request.id().isEmpty() ? Optional.empty() : takeIdle(endpoint, request.id());
+        if (idle.isPresent()) {
+            return idle.get();
+        }
+        openedConnections.increment();
+        long timeoutMs = Math.min(request.remainingMs(environment.clock()), CONNECT_TIMEOUT_MS);
+        return UpstreamConnection.open(endpoint, timeoutMs, environment);
+    }
+
+    private Optional<UpstreamConnection> takeIdle(EndpointState endpoint, String requestId) {
         Deque<UpstreamConnection> connections = idleConnections.get(keyOf(endpoint));
         UpstreamConnection connection = connections == null ? null : connections.pollFirst();
         while (connection != null) {
-            if (!connection.isUnusable()) {
-                return connection;
+            if (!connection.isUnusableFor(requestId)) {
+                return Optional.of(connection);
             }
             connection.close();
             connection = connections.pollFirst();
         }
-        openedConnections.increment();
-        return UpstreamConnection.open(endpoint, Math.min(timeoutMs, CONNECT_TIMEOUT_MS), clock);
+        return Optional.empty();
+    }
+
+    /** Closes the connections that are still sending a request whose deadline has passed. */
+    void closeOverdueSends() {
+        environment.sending().forEach(UpstreamConnection::closeIfSendIsOverdue);
     }
 
     /**
@@ -70,7 +98,8 @@
     boolean probe(EndpointState endpoint, long timeoutMs) {
         openedConnections.increment();
         try {
-            UpstreamConnection connection = UpstreamConnection.open(endpoint, timeoutMs, clock);
+            UpstreamConnection connection =
+                    UpstreamConnection.open(endpoint, timeoutMs, environment);
             connection.close();
             return true;
         } catch (UpstreamException e) {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.FleetRetryBudget;
@@ -7,6 +8,7 @@
 import io.sapphirestack.core.relay.RelayedAccount;
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.RequestKind;
+import io.sapphirestack.core.relay.ResponseLimits;
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.relay.TrafficPlanException;
 import io.sapphirestack.core.relay.TrafficRoute;
@@ -37,16 +39,24 @@
 
     private static final int READ_TIMEOUT_MS = 10_000;
 
+    /** Message memory, in bytes: a quarter of the heap of deploy/system.toml. */
+    private static final long MEMORY_BYTES = 32L * 1024 * 1024;
+
     private final MillisClock clock = MillisClock.monotonic();
     private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
     private final AtomicReference<Optional<TrafficPlan>> plan =
             new AtomicReference<>(Optional.empty());
+    private final ByteBudget memory = new ByteBudget(MEMORY_BYTES);
     private final EndpointTable table;
     private final AtomicReference<EndpointTable> known;
     private final TrafficRelay relay;
     private final RelayListener listener;
 
     RelayTestBed(ScriptedEndpoint... endpoints) throws ServiceException {
+        this(CallerLimits.DEFAULT, endpoints);
+    }
+
+    RelayTestBed(CallerLimits callerLimits, ScriptedEndpoint... endpoints) throws ServiceException {
         table =
                 new EndpointTable(
                         Stream.of(endpoints)
@@ -72,11 +82,13 @@
                                         new FleetRetryBudget.Settings(1, 10, 10_000),
                                         () -> 1,
                                         clock),
+                                ResponseLimits.DEFAULT,
                                 new Metrics(),
                                 clock));
         listener =
                 new RelayListener(
-                        "caller", "127.0.0.1:0", 50, relay, () -> CallerLimits.DEFAULT, clock);
+                        "caller", "127.0.0.1:0", 500, relay, () -> callerLimits, memory, clock);
+        scheduler.scheduleWithFixedDelay(relay::closeOverdueSends, 100, 100, TimeUnit.MILLISECONDS);
         listener.start(scheduler);
     }
 
@@ -142,10 +154,16 @@
     }
 
     static String request(String method, String path, String fields, String body) {
+        return request("r1", method, path, fields, body);
+    }
+
+    static String request(String id, String method, String path, String fields, String body) {
         return method
                 + " "
                 + path
-                + " HTTP/1.1\r\nHost: h\r\nSapphire-Key: k1\r\nSapphire-Request-Id: r1\r\n"
+                + " HTTP/1.1\r\nHost: h\r\nSapphire-Key: k1\r\nSapphire-Request-Id: "
+                + id
+                + "\r\n"
                 + fields
                 + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n")
                 + "\r\n"
@@ -166,6 +184,26 @@
         return call(request(method, path, "Connection: close\r\n", body));
     }
 
+    /** Returns the memory that requests and responses hold now, in bytes. */
+    long reservedBytes() {
+        return memory.reservedBytes();
+    }
+
+    /** Returns the limit of {@link #reservedBytes()}. */
+    static long memoryBytes() {
+        return MEMORY_BYTES;
+    }
+
+    /** Begins to drain the connections of callers, as in a planned stop. */
+    void drain() {
+        listener.drain();
+    }
+
+    /** Returns the number of open connections of callers. */
+    int openConnections() {
+        return listener.openConnections();
+    }
+
     TrafficRelay relay() {
         return relay;
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/ScriptedEndpoint.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/ScriptedEndpoint.java
@@ -24,6 +24,7 @@
     private final String id;
     private final String availabilityZone;
     private final Script script;
+    private final List<Socket> accepted = new CopyOnWriteArrayList<>();
     private final List<Received> received = new CopyOnWriteArrayList<>();
 
     /** Request as it arrived. */
@@ -43,6 +44,11 @@
         start(this::accept);
     }
 
+    /** Creates an endpoint that accepts connections and never reads from them. */
+    static ScriptedEndpoint notReading(String id) throws IOException {
+        return new ScriptedEndpoint(id, "z1", null);
+    }
+
     private static void start(Runnable task) {
         Thread thread = new Thread(task, "scripted-endpoint");
         thread.setDaemon(true);
@@ -69,7 +75,11 @@
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
-                start(() -> serve(socket));
+                if (script == null) {
+                    accepted.add(socket);
+                } else {
+                    start(() -> serve(socket));
+                }
             } catch (IOException e) {
                 return;
             }
@@ -144,5 +154,8 @@
     @Override
     public void close() throws IOException {
         server.close();
+        for (Socket socket : accepted) {
+            socket.close();
+        }
     }
 }
