Use more of the retry budget, and resume from a copy only after the first event

A stream whose attempt produced no event is prefilled elsewhere at once. SAP1914 logs the event that the attempt continues from.

Ruled out: a reserve that grows after a restart; the load test keeps the bound without it.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/FleetRetryBudget.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/FleetRetryBudget.java
@@ -19,13 +19,17 @@
  * <p>The share of an instance is that ratio of its own requests plus an equal part of the reserve.
  * Failures are not distributed evenly over the instances. Instances that know each other's usage
  * therefore take retries from a shared pool of {@value #SHARED_POOL_FRACTION} of the fleet's
- * budget; the rest of the budget is divided into shares. That rest also has to cover recent retries
- * of other instances that are not known here yet. Thread-safe.
+ * budget. An instance that finds the pool empty still has a small part of its own share. The rest
+ * of the budget covers recent retries of other instances that are not known here yet, and of
+ * instances that have restarted and forgotten them. Thread-safe.
  */
 public final class FleetRetryBudget {
 
     /** Fraction of the budget in the shared pool of all instances that know each other's usage. */
-    static final double SHARED_POOL_FRACTION = 0.6;
+    static final double SHARED_POOL_FRACTION = 0.8;
+
+    /** Fraction of its own share that an instance may use although the shared pool is empty. */
+    static final double OWN_SHARE_FRACTION = 0.15;
 
     private final Settings settings;
     private final IntSupplier instances;
@@ -139,7 +143,7 @@
                 settings.ratio() * (ownRequests + othersUsage.get().requests())
                         + settings.reserve() * knownFraction;
         double sharedPool = SHARED_POOL_FRACTION * fleetBudget - othersUsage.get().retries();
-        return Math.max(sharedPool, (1 - SHARED_POOL_FRACTION) * share);
+        return Math.max(sharedPool, OWN_SHARE_FRACTION * share);
     }
 
     private Window window(String service) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -255,6 +255,8 @@
                 copyHolder.isPresent(),
                 "attempt",
                 attemptCount,
+                "lastEvent",
+                lastEventId,
                 "candidates",
                 candidates.size());
         StreamAttempt.AttemptTarget target =
@@ -319,7 +321,8 @@
                 context.clock().nowMs() - waitStartedAtMs,
                 "cause",
                 failure.getMessage());
-        standbyHolder = attempt.target().standby();
+        // A copy exists only once the engine has produced an event.
+        standbyHolder = attempt.hasReceivedEvent() ? attempt.target().standby() : Optional.empty();
         moved = true;
         lastResponse =
                 Optional.of(
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -282,6 +282,19 @@
         }
     }
 
+    /** An engine has nothing to copy before its first event, so the copy would only be refused. */
+    @Test
+    void streamWithoutAnEventIsNotResumedFromACopy() throws Exception {
+        try (ScriptedEndpoint first = closingEndpointAfter("e1", "z1", "first");
+                ScriptedEndpoint second = streamingEndpoint("e2", "z2", "second", 1);
+                RelayTestBed testBed = new RelayTestBed(first, second).withTrafficPlan()) {
+            assertThat(dataOf(testBed.call("POST", "/stream/", "p"))).isEqualTo("e1");
+            assertThat(second.received()).hasSize(1);
+            assertThat(second.received().get(0).headers())
+                    .doesNotContainKeys("Sapphire-Resume-From", "Last-Event-ID");
+        }
+    }
+
     private static String dataOf(String response) {
         StringBuilder data = new StringBuilder();
         for (String line : response.split("\n")) {
