Name the reason of a refusal after failed attempts correctly

Every refusal without a further attempt said that the endpoints were at capacity, also when the route allowed no attempt more or the retry budget was empty.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -17,7 +17,7 @@
     /** Failed connection attempts after which a request is refused as not run. */
     private static final int MAX_CONNECT_FAILURES = 4;
 
-    /** Retry-After of a response if all endpoints are at capacity, in milliseconds. */
+    /** Retry-After of a response if the tried endpoints refused the request, in milliseconds. */
     private static final long BUSY_RETRY_AFTER_MS = 100;
 
     /** Retry-After of a response if no endpoint can be reached, in milliseconds. */
@@ -166,7 +166,8 @@
                     history.lastResponse.orElseGet(
                             () ->
                                     RelayResponse.notRun(
-                                            "the endpoints are at capacity", BUSY_RETRY_AFTER_MS)));
+                                            "each endpoint that was tried refused the request",
+                                            BUSY_RETRY_AFTER_MS)));
         }
         if (response.status() >= 500) {
             history.lastResponse = Optional.of(response);
