--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/GuardedInputStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/GuardedInputStream.java
@@ -44,21 +44,31 @@
     }
 
     /**
-     * Sets the guard of the next reads and resets the number of bytes read. The interval of the
+     * Sets the guard of the next reads, which receive the head of a message. The interval of the
      * checks continues if another guard was set.
      *
      * @param next guard
-     * @param limitBytes number of bytes after which a read fails
+     * @param maxHeadBytes number of bytes after which a read fails with {@link MessageLimit#HEAD}
      */
-    public void guard(Guard next, long limitBytes) {
+    public void guardHead(Guard next, long maxHeadBytes) {
         if (guard == null) {
             checkedAtMs = clock.nowMs();
         }
         guard = next;
-        maxBytes = limitBytes;
+        maxBytes = maxHeadBytes;
         readBytes = 0;
     }
 
+    /**
+     * Sets the guard of the next reads, which receive the body of a message; its size is not
+     * limited here.
+     *
+     * @param next guard
+     */
+    public void guardBody(Guard next) {
+        guardHead(next, Long.MAX_VALUE);
+    }
+
     /** Removes the guard. */
     public void clearGuard() {
         guard = null;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/MessageLimit.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/MessageLimit.java
@@ -3,10 +3,10 @@
 /** Limit on a part of a received HTTP message. The names appear in log events. */
 public enum MessageLimit {
 
-    /** Bytes of one line of a head, of chunk framing or of a trailer. */
+    /** Bytes of one line of a head, of chunk framing or of a trailer, or number of such lines. */
     LINE,
 
-    /** Bytes or fields of a head. */
+    /** Bytes of a head. */
     HEAD,
 
     /** Number of interim heads before a response. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
@@ -152,7 +152,10 @@
     private Optional<CallerExchange> receiveRequest(ByteBudget.Lease lease)
             throws IOException, HttpException {
         try {
-            guardRead(limits.headerTimeoutMs(), (long) limits.headerBytes() + READ_AHEAD_BYTES);
+            socket.guardedInput()
+                    .guardHead(
+                            timeoutGuard(limits.headerTimeoutMs()),
+                            (long) limits.headerBytes() + READ_AHEAD_BYTES);
             ClassicHttpRequest request = connection.receiveRequestHeader();
             if (request == null || socket.guardedInput().isEndReached()) {
                 // The library accepts a head that ends with the connection; its rest is unknown.
@@ -164,7 +167,7 @@
                 return Optional.empty();
             }
             // A body may take as long as a connection may be idle, however slowly it arrives.
-            guardRead(limits.idleTimeoutMs(), Long.MAX_VALUE);
+            socket.guardedInput().guardBody(timeoutGuard(limits.idleTimeoutMs()));
             byte[] body = readBody(request, lease);
             return Optional.of(new CallerExchange(request, body, lease, clock.nowMs()));
         } catch (MessageConstraintException e) {
@@ -179,17 +182,15 @@
         return Optional.empty();
     }
 
-    private void guardRead(long timeoutMs, long maxBytes) throws IOException {
+    /** Returns a guard that ends reads after a time. */
+    private GuardedInputStream.Guard timeoutGuard(long timeoutMs) {
         long endsAtMs = clock.nowMs() + timeoutMs;
-        socket.guardedInput()
-                .guard(
-                        () -> {
-                            if (clock.nowMs() >= endsAtMs) {
-                                throw new SocketTimeoutException(
-                                        "the request did not arrive within " + timeoutMs + " ms");
-                            }
-                        },
-                        maxBytes);
+        return () -> {
+            if (clock.nowMs() >= endsAtMs) {
+                throw new SocketTimeoutException(
+                        "the request did not arrive within " + timeoutMs + " ms");
+            }
+        };
     }
 
     private byte[] readBody(ClassicHttpRequest request, ByteBudget.Lease lease)
@@ -247,7 +248,7 @@
         socket.shutdownOutput();
         GuardedInputStream input = socket.guardedInput();
         byte[] chunk = new byte[READ_CHUNK_BYTES];
-        guardRead(DISCARD_MS, Long.MAX_VALUE);
+        input.guardBody(timeoutGuard(DISCARD_MS));
         try {
             while (input.read(chunk, 0, chunk.length) >= 0) {
                 LOG.debug("SAP1927", "Bytes after a rejected request were discarded");
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
@@ -223,7 +223,8 @@
         ResponseLimits limits = environment.limits();
         try {
             // The library reads ahead by up to its buffer.
-            guard(check, (long) limits.headBytes() + BUFFER_BYTES);
+            socket.guardedInput()
+                    .guardHead(guardOf(check), (long) limits.headBytes() + BUFFER_BYTES);
             ClassicHttpResponse response = connection.receiveResponseHeader();
             for (int interim = 1; response.getCode() < FIRST_FINAL_STATUS; interim++) {
                 requireInterim(response.getCode(), interim);
@@ -275,17 +276,14 @@
         return entity == null ? InputStream.nullInputStream() : entity.getContent();
     }
 
-    private void guard(WaitCheck check, long maxBytes) throws IOException {
-        socket.guardedInput()
-                .guard(
-                        () -> {
-                            try {
-                                check.check();
-                            } catch (ServiceException e) {
-                                throw new WaitEndedException(e);
-                            }
-                        },
-                        maxBytes);
+    private static GuardedInputStream.Guard guardOf(WaitCheck check) {
+        return () -> {
+            try {
+                check.check();
+            } catch (ServiceException e) {
+                throw new WaitEndedException(e);
+            }
+        };
     }
 
     /**
@@ -295,7 +293,7 @@
      */
     int read(byte[] buffer, WaitCheck check) throws ServiceException {
         try {
-            guard(check, Long.MAX_VALUE);
+            socket.guardedInput().guardBody(guardOf(check));
             return readContent(buffer);
         } catch (IOException | RuntimeException e) {
             throw failure("the connection failed within the body of the response", e);
@@ -327,7 +325,7 @@
                 new BoundedBuffer(memory, MessageLimit.BODY, environment.limits().bodyBytes());
         byte[] chunk = new byte[READ_CHUNK_BYTES];
         try {
-            guard(check, Long.MAX_VALUE);
+            socket.guardedInput().guardBody(guardOf(check));
             for (int read = readContent(chunk); read >= 0; read = readContent(chunk)) {
                 body.append(chunk, 0, read);
             }
@@ -343,7 +341,7 @@
         byte[] chunk = new byte[READ_CHUNK_BYTES];
         int maxBytes = environment.limits().bodyBytes();
         try {
-            guard(check, Long.MAX_VALUE);
+            socket.guardedInput().guardBody(guardOf(check));
             long discardedBytes = 0;
             for (int read = readContent(chunk); read >= 0; read = readContent(chunk)) {
                 discardedBytes += read;
