Place prompts at the cheapest of a few sampled engines

Cause: reports of work in flight reach the instances of a large fleet after 0.4 to 0.8 s. All of them chose the cheapest of all engines, so the prompts of that time gathered at the engines that looked idle in the last report.

Change: RelayPlacement samples 6 engines, one fewer for each 20 instances, at least 3. Plain requests are compared at all endpoints as before.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
@@ -2,13 +2,16 @@
 
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.routing.EndpointState;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
@@ -19,7 +22,14 @@
  * <p>The cost of an endpoint is its work in flight relative to its slots, plus a penalty for its
  * recent error rate. Many instances decide at the same time from the same reports, so each adds
  * jitter to every cost, up to the weight of the work being placed. Without it they would all choose
- * the same endpoint. Thread-safe if its collaborators are.
+ * the same endpoint.
+ *
+ * <p>Prompts and standby copies are placed at the cheapest of a few randomly sampled endpoints. The
+ * reports of other instances are late by several dissemination hops, and prompts take an engine
+ * about a second. If all instances chose the cheapest of all endpoints, those that looked idle in
+ * the last report would receive every prompt of that time. Answers bursts of prompts after the loss
+ * of an availability zone, with 10 to 300 instances that place them. Thread-safe if its
+ * collaborators are.
  */
 public final class RelayPlacement {
 
@@ -29,10 +39,20 @@
     /** Cost of an error rate of 1, as a multiple of the cost of fully used slots. */
     static final double ERROR_COST = 3.0;
 
+    /** Endpoints that a small fleet samples for a prompt. */
+    static final int MAX_SAMPLE = 6;
+
+    /** Endpoints that a large fleet, whose reports are older, samples for a prompt. */
+    static final int MIN_SAMPLE = 3;
+
+    /** Number of instances for each of which the sample has one endpoint fewer. */
+    static final int INSTANCES_PER_SAMPLE_STEP = 20;
+
     private final String zone;
     private final ToDoubleFunction<EndpointState> requestsInFlight;
     private final EndpointHealth health;
     private final DoubleSupplier random;
+    private final IntSupplier instances;
 
     /**
      * Creates a placement.
@@ -42,16 +62,19 @@
      *     to requests
      * @param health endpoint health as observed by this instance
      * @param random returns random numbers from 0 (inclusive) to 1 (exclusive)
+     * @param instances returns the number of instances that place work at the endpoints
      */
     public RelayPlacement(
             String zone,
             ToDoubleFunction<EndpointState> requestsInFlight,
             EndpointHealth health,
-            DoubleSupplier random) {
+            DoubleSupplier random,
+            IntSupplier instances) {
         this.zone = Objects.requireNonNull(zone, "zone");
         this.requestsInFlight = Objects.requireNonNull(requestsInFlight, "requestsInFlight");
         this.health = Objects.requireNonNull(health, "health");
         this.random = Objects.requireNonNull(random, "random");
+        this.instances = Objects.requireNonNull(instances, "instances");
     }
 
     /**
@@ -121,13 +144,32 @@
     private Optional<EndpointState> cheapest(
             RelayWorkKind kind, List<EndpointState> candidates, Predicate<EndpointState> allowed) {
         double maxJitterRequests = RelayWorkKind.toRequests(kind.weight());
-        return candidates.stream()
-                .filter(allowed)
+        List<EndpointState> eligible = candidates.stream().filter(allowed).toList();
+        List<EndpointState> compared =
+                kind == RelayWorkKind.PROMPT ? sample(eligible, sampleSize()) : eligible;
+        return compared.stream()
                 .map(endpoint -> new ScoredEndpoint(endpoint, cost(endpoint, maxJitterRequests)))
                 .min(Comparator.comparingDouble(ScoredEndpoint::cost))
                 .map(ScoredEndpoint::endpoint);
     }
 
+    private int sampleSize() {
+        return Math.max(MIN_SAMPLE, MAX_SAMPLE - instances.getAsInt() / INSTANCES_PER_SAMPLE_STEP);
+    }
+
+    /** Returns some of the endpoints, each with the same probability. */
+    private List<EndpointState> sample(List<EndpointState> endpoints, int size) {
+        if (endpoints.size() <= size) {
+            return endpoints;
+        }
+        List<EndpointState> shuffled = new ArrayList<>(endpoints);
+        for (int i = 0; i < size; i++) {
+            int chosen = i + (int) (random.getAsDouble() * (shuffled.size() - i));
+            Collections.swap(shuffled, i, chosen);
+        }
+        return shuffled.subList(0, size);
+    }
+
     private record ScoredEndpoint(EndpointState endpoint, double cost) {}
 
     private double cost(EndpointState endpoint, double maxJitterRequests) {
--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/RelayPlacementLoadTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/RelayPlacementLoadTests.java
@@ -9,7 +9,9 @@
 import io.sapphirestack.core.routing.DispatchPermit;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.routing.InFlightTracker;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +20,7 @@
 import java.util.SplittableRandom;
 import java.util.function.ToIntFunction;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -27,18 +30,35 @@
  */
 class RelayPlacementLoadTests {
 
-    private static final int ENGINES = 25;
-    private static final int ZONES = 4;
-    private static final int INSTANCES = 10;
     private static final int PROMPT_TOKENS = 8_200;
     private static final int OUTPUT_TOKENS = 780;
-    private static final double ARRIVALS_PER_MS = 0.0073;
     private static final long DURATION_MS = 60_000;
-    private static final long CRASH_INTERVAL_MS = 6_500;
     private static final long RESTART_MS = 1_200;
-    private static final long DISSEMINATION_LAG_MS = 100;
+    private static final long DISSEMINATION_INTERVAL_MS = 100;
     private static final long ON_TIME_MS = 4_500;
 
+    /**
+     * Fleet and load; one availability zone of engines crashes at a time.
+     *
+     * @param instances number of instances that place streams
+     * @param engines number of engines
+     * @param zones number of availability zones
+     * @param slots slots of an engine
+     * @param arrivalsPerMs streams that arrive in a millisecond, on average
+     * @param crashIntervalMs time between two crashes, in milliseconds
+     * @param lagMs time after which the instances know each other's placements, in milliseconds
+     */
+    private record Scenario(
+            int instances,
+            int engines,
+            int zones,
+            int slots,
+            double arrivalsPerMs,
+            long crashIntervalMs,
+            long lagMs) {}
+
+    private static final Scenario SMALL = new Scenario(10, 25, 4, 32, 0.0073, 6_500, 100);
+
     /** Chooses an engine for a stream that has arrived or whose engine has crashed. */
     @FunctionalInterface
     private interface PlacementStrategy {
@@ -53,7 +73,7 @@
         private final RelayPlacement placement;
         private Map<EndpointId, Integer> othersInFlightWeights = Map.of();
 
-        Instance(String zone, SplittableRandom random) {
+        Instance(String zone, int fleetSize, SplittableRandom random) {
             own = new InFlightTracker(() -> nowMs);
             placement =
                     new RelayPlacement(
@@ -64,7 +84,8 @@
                                                     + othersInFlightWeights.getOrDefault(
                                                             e.id(), 0)),
                             new EndpointHealth(() -> nowMs),
-                            random::nextDouble);
+                            random::nextDouble,
+                            () -> fleetSize);
         }
     }
 
@@ -74,38 +95,43 @@
     private final List<Instance> instances = new ArrayList<>();
     private final Map<Stream, Runnable> releases = new HashMap<>();
 
+    private final Deque<Map<Instance, Map<EndpointId, Integer>>> snapshots = new ArrayDeque<>();
+
     private Result simulate(
-            long seed, PlacementStrategy strategy, ToIntFunction<RelayWorkKind> weight) {
+            Scenario scenario,
+            long seed,
+            PlacementStrategy strategy,
+            ToIntFunction<RelayWorkKind> weight) {
         SplittableRandom random = new SplittableRandom(seed);
-        reset(random);
+        reset(scenario, random);
         List<Stream> streams = new ArrayList<>();
         List<Double> durationsMs = new ArrayList<>();
-        long[] restartedAtMs = new long[ENGINES];
+        long[] restartedAtMs = new long[scenario.engines()];
         for (nowMs = 0; nowMs < DURATION_MS; nowMs++) {
             for (Engine engine : engines) {
                 engine.advanceTo(nowMs);
             }
-            if (nowMs % DISSEMINATION_LAG_MS == 0) {
-                disseminateInFlight();
+            if (nowMs % DISSEMINATION_INTERVAL_MS == 0) {
+                disseminateInFlight(scenario.lagMs() / DISSEMINATION_INTERVAL_MS);
             }
             List<Stream> unplaced = new ArrayList<>();
-            if (nowMs % CRASH_INTERVAL_MS == CRASH_INTERVAL_MS - 1) {
-                long zone = nowMs / CRASH_INTERVAL_MS % ZONES;
-                for (int i = 0; i < ENGINES; i++) {
-                    if (i % ZONES == zone) {
+            if (nowMs % scenario.crashIntervalMs() == scenario.crashIntervalMs() - 1) {
+                long zone = nowMs / scenario.crashIntervalMs() % scenario.zones();
+                for (int i = 0; i < scenario.engines(); i++) {
+                    if (i % scenario.zones() == zone) {
                         unplaced.addAll(engines.get(i).crash());
                         restartedAtMs[i] = nowMs + RESTART_MS;
                     }
                 }
             }
-            if (random.nextDouble() < ARRIVALS_PER_MS) {
+            if (random.nextDouble() < scenario.arrivalsPerMs()) {
                 Stream stream = new Stream(nowMs, PROMPT_TOKENS, OUTPUT_TOKENS);
                 stream.onEnd = ended -> durationsMs.add(nowMs - ended.arrivedMs);
                 streams.add(stream);
                 unplaced.add(stream);
             }
             List<EndpointState> candidates = new ArrayList<>();
-            for (int i = 0; i < ENGINES; i++) {
+            for (int i = 0; i < scenario.engines(); i++) {
                 if (restartedAtMs[i] <= nowMs) {
                     candidates.add(states.get(i));
                 }
@@ -113,7 +139,7 @@
             for (Stream stream : unplaced) {
                 start(
                         stream,
-                        instances.get(random.nextInt(INSTANCES)),
+                        instances.get(random.nextInt(scenario.instances())),
                         candidates,
                         strategy,
                         weight);
@@ -122,38 +148,46 @@
         return result(streams, durationsMs);
     }
 
-    private void reset(SplittableRandom random) {
+    private void reset(Scenario scenario, SplittableRandom random) {
         engines.clear();
         states.clear();
         instances.clear();
         releases.clear();
-        for (int i = 0; i < ENGINES; i++) {
+        snapshots.clear();
+        for (int i = 0; i < scenario.engines(); i++) {
             engines.add(new Engine());
             states.add(
                     new EndpointState(
                             EndpointId.of("e" + i),
                             "scribe",
                             "10.0.0." + i + ":80",
-                            "z" + i % ZONES,
+                            "z" + i % scenario.zones(),
                             1,
                             Set.of(),
-                            new EndpointLoad(0, 0, 32, 0),
+                            new EndpointLoad(0, 0, scenario.slots(), 0),
                             0));
         }
-        for (int i = 0; i < INSTANCES; i++) {
-            instances.add(new Instance("z" + i % ZONES, random.split()));
+        for (int i = 0; i < scenario.instances(); i++) {
+            instances.add(
+                    new Instance("z" + i % scenario.zones(), scenario.instances(), random.split()));
         }
     }
 
-    private void disseminateInFlight() {
+    /** Publishes the work in flight of the others as it was some dissemination intervals ago. */
+    private void disseminateInFlight(long lagIntervals) {
+        Map<Instance, Map<EndpointId, Integer>> current = new HashMap<>();
+        instances.forEach(instance -> current.put(instance, instance.own.snapshot()));
+        snapshots.addLast(current);
+        if (snapshots.size() > lagIntervals) {
+            snapshots.removeFirst();
+        }
+        Map<Instance, Map<EndpointId, Integer>> known = snapshots.peekFirst();
+        Map<EndpointId, Integer> sums = new HashMap<>();
+        known.values().forEach(own -> own.forEach((id, n) -> sums.merge(id, n, Integer::sum)));
         for (Instance instance : instances) {
-            Map<EndpointId, Integer> weights = new HashMap<>();
-            for (Instance other : instances) {
-                if (other != instance) {
-                    other.own.snapshot().forEach((id, n) -> weights.merge(id, n, Integer::sum));
-                }
-            }
-            instance.othersInFlightWeights = weights;
+            Map<EndpointId, Integer> others = new HashMap<>(sums);
+            known.get(instance).forEach((id, n) -> others.merge(id, -n, Integer::sum));
+            instance.othersInFlightWeights = others;
         }
     }
 
@@ -231,19 +265,23 @@
     void weightedWorkServesMoreStreamsOnTimeThanBaselines(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         Map<Instance, Integer> nextByInstance = new HashMap<>();
-        Result weighted = simulate(seed, RelayPlacementLoadTests::byCost, RelayWorkKind::weight);
+        Result weighted =
+                simulate(SMALL, seed, RelayPlacementLoadTests::byCost, RelayWorkKind::weight);
         Result unweighted =
                 simulate(
+                        SMALL,
                         seed,
                         RelayPlacementLoadTests::byCost,
                         kind -> RelayWorkKind.REQUEST.weight());
         Result randomChoice =
                 simulate(
+                        SMALL,
                         seed,
                         (instance, all) -> all.get(random.nextInt(all.size())),
                         RelayWorkKind::weight);
         Result roundRobin =
                 simulate(
+                        SMALL,
                         seed,
                         (instance, all) ->
                                 all.get(
@@ -260,4 +298,36 @@
                 .isLessThan(randomChoice.meanDurationMs())
                 .isLessThan(roundRobin.meanDurationMs());
     }
+
+    /**
+     * Reports reach all instances of a large fleet only after several hops. Prompts must not gather
+     * at the engines that looked idle in the last report: with the cheapest of all engines, random
+     * placement served more streams on time.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "10, 25, 4, 32, 0.0073, 300",
+        "24, 36, 6, 16, 0.009, 300",
+        "100, 59, 6, 16, 0.0177, 400",
+        "100, 59, 6, 16, 0.0177, 800",
+        "79, 157, 4, 12, 0.045, 800",
+        "300, 180, 6, 16, 0.055, 1000"
+    })
+    void lateReportsDoNotGatherPromptsAtFewEngines(
+            int instances, int engines, int zones, int slots, double arrivalsPerMs, long lagMs) {
+        Scenario scenario =
+                new Scenario(instances, engines, zones, slots, arrivalsPerMs, 3_250, lagMs);
+        SplittableRandom random = new SplittableRandom(7);
+        Result placed =
+                simulate(scenario, 1, RelayPlacementLoadTests::byCost, RelayWorkKind::weight);
+        Result randomChoice =
+                simulate(
+                        scenario,
+                        1,
+                        (instance, all) -> all.get(random.nextInt(all.size())),
+                        RelayWorkKind::weight);
+        assertThat(placed.onTimeShare()).isGreaterThanOrEqualTo(0.99);
+        assertThat(placed.p99FirstTokenMs()).isLessThan(ON_TIME_MS);
+        assertThat(placed.meanDurationMs()).isLessThan(randomChoice.meanDurationMs());
+    }
 }
--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/RelayPlacementTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/RelayPlacementTests.java
@@ -29,7 +29,8 @@
                     "z1",
                     endpoint -> requestsInFlight.getOrDefault(endpoint.id(), 0),
                     health,
-                    random::nextDouble);
+                    random::nextDouble,
+                    () -> 1);
 
     private static EndpointState endpoint(String id, String zone) {
         return new EndpointState(
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -68,7 +68,7 @@
         // Without jitter, placement prefers the endpoint with the lowest name in availability zone
         // z1.
         RelayPlacement placement =
-                new RelayPlacement("z1", e -> inFlight.inFlight(e.id()), health, () -> 0);
+                new RelayPlacement("z1", e -> inFlight.inFlight(e.id()), health, () -> 0, () -> 1);
         relay =
                 new TrafficRelay(
                         new RelayContext(
