Drain without cutting a request that was just read; try copies before the first event again

Idle connections are now closed 300 ms after the drain begins, so that requests sent before it are claimed by then.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayListener.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayListener.java
@@ -34,6 +34,9 @@
      */
     private static final long RESPONSE_TIMEOUT_MS = 50;
 
+    /** Time from the start of a drain to the closing of idle connections, in milliseconds. */
+    static final long DRAIN_DELAY_MS = 300;
+
     private static final long TIMEOUT_CHECK_INTERVAL_MS = 1_000;
     private static final int BUFFER_BYTES = 4_096;
     private static final int MAX_HEADER_FIELDS = 100;
@@ -47,6 +50,7 @@
     private final ThreadPoolExecutor workers;
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean stopping = new AtomicBoolean();
+    private volatile ScheduledExecutorService scheduler;
     private volatile boolean closed;
 
     /**
@@ -96,6 +100,7 @@
      * @param scheduler runs the periodic check for writes that have timed out
      */
     public void start(ScheduledExecutorService scheduler) {
+        this.scheduler = scheduler;
         Thread acceptor = new Thread(this::acceptConnections, name + "-accept");
         acceptor.setDaemon(true);
         acceptor.start();
@@ -106,9 +111,17 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    /** Closes idle connections now and each other connection after its next response. */
+    /**
+     * Closes each connection after its next response, and those that are still idle after {@value
+     * #DRAIN_DELAY_MS} ms. Until then, the threads of the connections read the requests that were
+     * sent before the drain began; closing at once could cut one off that was just read.
+     */
     public void drain() {
         stopping.set(true);
+        scheduler.schedule(this::closeIdle, DRAIN_DELAY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void closeIdle() {
         connections.forEach(CallerConnection::closeIfIdle);
     }
 
@@ -164,7 +177,8 @@
         } catch (IOException e) {
             LOG.warn("SAP1906", "Closing the server socket failed", "cause", e);
         }
-        drain();
+        stopping.set(true);
+        closeIdle();
         WorkerPools.shutdown(workers, RESPONSE_TIMEOUT_MS);
         connections.forEach(CallerConnection::close);
         workers.shutdownNow();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -321,8 +321,9 @@
                 context.clock().nowMs() - waitStartedAtMs,
                 "cause",
                 failure.getMessage());
-        // A copy exists only once the engine has produced an event.
-        standbyHolder = attempt.hasReceivedEvent() ? attempt.target().standby() : Optional.empty();
+        // An engine may copy the prompt while it reads it, so a copy can exist before the first
+        // event.
+        standbyHolder = attempt.target().standby();
         moved = true;
         lastResponse =
                 Optional.of(
