--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -321,8 +321,6 @@
                 context.clock().nowMs() - waitStartedAtMs,
                 "cause",
                 failure.getMessage());
-        // An engine may copy the prompt while it reads it, so a copy can exist before the first
-        // event.
         standbyHolder = attempt.target().standby();
         moved = true;
         lastResponse =
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -278,7 +278,7 @@
         }
     }
 
-    /** An engine copies a prompt while it reads it; without the copy the prompt is read again. */
+    /** The copy is tried first; a refused one is covered by the test of a missing copy. */
     @Test
     void streamLostBeforeItsFirstEventIsResumedFromItsCopy() throws Exception {
         try (ScriptedEndpoint first = closingEndpointAfter("e1", "z1", "first");
