Log the shared prompt parts of stream attempts, and whether a failed engine still accepts connections

The logs could not tell whether the attempts that end with an engine have a part of their prompt in common: SAP1914 and SAP1915 did not name the parts, nor whether the attempt had received an event, nor whether the engine was gone or only the connection.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
@@ -18,6 +18,8 @@
  * @param notRun present in the response of an endpoint that did not run the request
  * @param standby address of the endpoint that keeps a standby copy of a running request
  * @param resumeFrom standby copy from which a request continues
+ * @param promptParts parts of the prompt in order, as comma-separated {@code id:tokens} entries;
+ *     the last part belongs to the request or its session
  * @param reserved further fields that are dropped from the requests of callers, because only this
  *     system may set them
  */
@@ -32,6 +34,7 @@
         String notRun,
         String standby,
         String resumeFrom,
+        String promptParts,
         Set<String> reserved) {
 
     /** Names of the project's own HTTP interface. */
@@ -47,6 +50,7 @@
                     "Sapphire-Not-Run",
                     "Sapphire-Standby",
                     "Sapphire-Resume-From",
+                    "Sapphire-Prompt-Parts",
                     Set.of());
 
     private static final Set<String> HOP_BY_HOP =
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.quarantine.PromptParts;
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.TrafficRoute;
 import io.sapphirestack.core.routing.EndpointState;
@@ -15,6 +16,7 @@
  * @param id identifier set by the caller, empty if there is none
  * @param route route that matched
  * @param service service that the request is sent to
+ * @param promptParts shared parts of its prompt
  * @param account client account of the caller, empty if no key is required and the caller sent none
  *     or an unknown one
  * @param deadlineAtMs deadline on the monotonic clock, in milliseconds: the earlier of those of the
@@ -26,6 +28,7 @@
         String id,
         TrafficRoute route,
         RelayedService service,
+        PromptParts promptParts,
         Optional<String> account,
         long deadlineAtMs,
         RelayHeaders headers) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -258,7 +258,9 @@
                 "lastEvent",
                 lastEventId,
                 "candidates",
-                candidates.size());
+                candidates.size(),
+                "promptParts",
+                request.promptParts().shared());
         StreamAttempt.AttemptTarget target =
                 new StreamAttempt.AttemptTarget(
                         endpoint, nextStandbyHolder, lastEventId, copyHolder.isPresent());
@@ -307,6 +309,8 @@
             return;
         }
         EndpointId id = attempt.endpoint().id();
+        boolean reachable =
+                attempt.hasReceivedEvent() || pool.probe(attempt.endpoint(), PROBE_TIMEOUT_MS);
         markFailed(attempt.endpoint());
         LOG.info(
                 "SAP1915",
@@ -319,6 +323,14 @@
                 lastEventId,
                 "silentMs",
                 context.clock().nowMs() - waitStartedAtMs,
+                "attemptMs",
+                context.clock().nowMs() - attemptStartedAtMs,
+                "eventReceived",
+                attempt.hasReceivedEvent(),
+                "reachable",
+                reachable,
+                "promptParts",
+                request.promptParts().shared(),
                 "cause",
                 failure.getMessage());
         standbyHolder = attempt.target().standby();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.quarantine.PromptParts;
 import io.sapphirestack.core.relay.RelayedAccount;
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.TrafficPlan;
@@ -154,6 +155,9 @@
                 exchange.header(headers.requestId()).orElse(""),
                 route,
                 service,
+                exchange.header(headers.promptParts())
+                        .map(PromptParts::parse)
+                        .orElse(PromptParts.NONE),
                 account.map(RelayedAccount::name),
                 exchange.receivedAtMs()
                         + Math.min(callerTimeoutMs.orElse(route.timeoutMs()), route.timeoutMs()),
