Quarantine prompt parts that crash the engines that answer them

Callers saw their streams lose one engine after the other: a prompt with a part that crashes engines was sent again to the next engine, up to max_attempts times, and every further request with the part began anew at any instance.

Cause: nothing kept account of what the requests that ended an engine had in common; the loss of an engine was always taken for a fault of the engine. Ruled out by the logs (docs/incidents/crashing-prompt.md): load, and the standby copies.

Change: attempts that fail before their first event at an engine that refuses connections afterwards make crash reports with the shared parts of their prompt, all instances hold the same reports, answers clear parts, and a part that explains three crash episodes is quarantined (core.quarantine, design section 4.13). It works for any number of parts and instances and never refuses a prompt that only shares another part.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/PromptParts.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/PromptParts.java
@@ -1,7 +1,10 @@
 package io.sapphirestack.core.quarantine;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Parts of a prompt that requests may share, in the order of the prompt. The last part of a prompt
@@ -41,4 +44,20 @@
         }
         return new PromptParts(ids.subList(0, Math.min(ids.size() - 1, MAX_PARTS)));
     }
+
+    /**
+     * Returns the handles of the shared parts. A part has a different handle in each service,
+     * because the engines of another service may run other software.
+     *
+     * @param service name of the service that the request is sent to
+     * @return 64-bit hashes, in the order of the parts
+     */
+    Set<Long> handles(String service) {
+        Set<Long> handles = new LinkedHashSet<>();
+        for (String id : shared) {
+            handles.add(
+                    Hashing.xxh3_64().hashStream().putString(service).putString(id).getAsLong());
+        }
+        return handles;
+    }
 }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -9,6 +9,8 @@
 import io.sapphirestack.core.limit.AccountUsageTable;
 import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.core.limit.RetryUsageTable;
+import io.sapphirestack.core.quarantine.CrashReportTable;
+import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
@@ -97,6 +99,9 @@
     private final LocalVoter localVoter;
     private final InFlightTracker inFlight;
     private final FleetRetryBudget retryBudget;
+    private final CrashReportTable crashReports = new CrashReportTable(MillisClock.wall());
+    private final PromptQuarantine quarantine =
+            new PromptQuarantine(crashReports, MillisClock.wall());
     private final ByteBudget messageMemory;
     private final EndpointRegistry endpointRegistry;
     private final DisseminationService dissemination;
@@ -217,6 +222,7 @@
                                 account -> false,
                                 inFlight::snapshot,
                                 () -> RetryUsageTable.ofServices(retryBudget.localUsage()),
+                                crashReports,
                                 IN_FLIGHT_REPORT_LIMIT_ENDPOINTS),
                         DISSEMINATION_FAN_OUT,
                         clock);
@@ -239,6 +245,7 @@
                 health,
                 inFlight,
                 retryBudget,
+                quarantine,
                 settings.messages().responseLimits(),
                 metrics,
                 clock);
@@ -253,6 +260,10 @@
                 "sapphire_endpoints_known",
                 "Endpoints that this instance knows.",
                 () -> blackboard.endpoints().read().byId().size());
+        metrics.registerGauge(
+                "sapphire_quarantined_prompt_parts",
+                "Prompt parts that are not sent to engines because they crash them.",
+                quarantine::size);
         metrics.registerGauge(
                 "sapphire_caller_connections",
                 "Open connections of callers.",
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBatch.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBatch.java
@@ -19,10 +19,12 @@
  *     io.sapphirestack.core.membership.InFlightAggregator}
  * @param b use of retry budgets, encoded by {@link
  *     io.sapphirestack.core.membership.RetryBudgetAggregator}
+ * @param q crash reports, encoded by {@link io.sapphirestack.core.quarantine.CrashReportExchange}
  */
 @PeerMessage(code = 40, reply = DisseminationBatch.Ack.class)
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
-public record DisseminationBatch(InstanceId s, int t, byte[] r, byte[] u, byte[] f, byte[] b)
+public record DisseminationBatch(
+        InstanceId s, int t, byte[] r, byte[] u, byte[] f, byte[] b, byte[] q)
         implements PeerRequest<DisseminationBatch.Ack> {
 
     /** Checks that the sender is present; absent byte arrays become empty. */
@@ -32,11 +34,12 @@
         u = u == null ? new byte[0] : u;
         f = f == null ? new byte[0] : f;
         b = b == null ? new byte[0] : b;
+        q = q == null ? new byte[0] : q;
     }
 
-    /** Returns whether the batch contains neither reports nor sums. */
+    /** Returns whether the batch contains nothing to apply. */
     boolean hasNoContent() {
-        return r.length + u.length + f.length + b.length == 0;
+        return r.length + u.length + f.length + b.length + q.length == 0;
     }
 
     /**
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
@@ -14,6 +14,7 @@
 import io.sapphirestack.core.membership.InFlightTable;
 import io.sapphirestack.core.membership.RetryBudgetAggregator;
 import io.sapphirestack.core.membership.UsageAggregator;
+import io.sapphirestack.core.quarantine.CrashReportExchange;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.transport.PeerHandlerRegistry;
 import io.sapphirestack.runtime.transport.PeerTransport;
@@ -32,10 +33,10 @@
 import org.jboss.logging.Logger;
 
 /**
- * Sends endpoint reports, account usage, requests in flight and the use of retry budgets to the
- * neighbours in the dissemination tree. Periodic anti-entropy exchanges repair what a neighbour
- * missed. {@link #tick()} does all periodic work and is called every {@link #BATCH_INTERVAL_MS}.
- * Thread-safe.
+ * Sends endpoint reports, account usage, requests in flight, the use of retry budgets and crash
+ * reports to the neighbours in the dissemination tree. Periodic anti-entropy exchanges repair what
+ * a neighbour missed. {@link #tick()} does all periodic work and is called every {@link
+ * #BATCH_INTERVAL_MS}. Thread-safe.
  */
 public final class DisseminationService implements AutoCloseable {
     /** Time between two batches to a neighbour, in milliseconds. */
@@ -73,6 +74,7 @@
     private final UsageAggregator usage = new UsageAggregator();
     private final InFlightAggregator inFlight = new InFlightAggregator();
     private final RetryBudgetAggregator retryBudgets = new RetryBudgetAggregator();
+    private final CrashReportExchange crashReports;
     private final Map<InstanceId, Neighbour> neighbours = new HashMap<>();
     private Set<InstanceInfo> treeMembers = Set.of();
     private InstanceId ownId;
@@ -110,6 +112,7 @@
         this.registry = Objects.requireNonNull(registry, "registry");
         this.parts = Objects.requireNonNull(parts, "parts");
         this.sources = Objects.requireNonNull(sources, "sources");
+        this.crashReports = new CrashReportExchange(sources.crashReports());
         this.fanOut = fanOut;
         this.clock = Objects.requireNonNull(clock, "clock");
         registry.setReportListener(report -> enqueue(List.of(report), null));
@@ -221,6 +224,7 @@
         usage.retainNeighbours(neighbours.keySet());
         inFlight.retainNeighbours(neighbours.keySet());
         retryBudgets.retainNeighbours(neighbours.keySet());
+        crashReports.sendAllNext();
         LOG.debugf(
                 "SAP3011 Dissemination tree has %d instances, neighbours of this one are %s",
                 tree.size(), next.keySet());
@@ -260,7 +264,8 @@
                 retryBudgets.encodeFor(
                         neighbour.info.ref().id(),
                         sources.retryBudgetUse().get().byHandle(),
-                        probe));
+                        probe),
+                crashReports.encodeFor(neighbour.info.ref().id()));
     }
 
     /** Keeps only the latest events, because they describe the current state of the cache best. */
@@ -313,12 +318,14 @@
             usage.sendFullNext(neighbour.info.ref().id());
             inFlight.sendFullNext(neighbour.info.ref().id());
             retryBudgets.sendFullNext(neighbour.info.ref().id());
+            crashReports.sendAllNext(neighbour.info.ref().id());
         }
     }
 
     private DisseminationBatch.Ack handleBatch(DisseminationBatch batch) {
         EndpointRegistry.BatchMergeResult merged = registry.mergeBatch(batch.r());
         enqueue(merged.newer(), batch.s());
+        crashReports.receive(batch.q());
         boolean applied = false;
         synchronized (lock) {
             if (batch.t() == tree.fingerprint() && neighbours.containsKey(batch.s())) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationSources.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationSources.java
@@ -4,19 +4,22 @@
 import io.sapphirestack.core.limit.AccountUsageTable;
 import io.sapphirestack.core.limit.RetryUsageTable;
 import io.sapphirestack.core.membership.InFlightAggregator;
+import io.sapphirestack.core.quarantine.CrashReportTable;
+import io.sapphirestack.core.time.MillisClock;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.IntPredicate;
 import java.util.function.Supplier;
 
 /**
- * Suppliers of the local state that {@link DisseminationService} disseminates.
+ * Local state that {@link DisseminationService} disseminates.
  *
  * @param usage returns the usage of client accounts at this instance
  * @param urgentAccount returns whether the account with a handle is near its limit, so that its
  *     usage is disseminated more often
  * @param inFlight returns the number of requests in flight at this instance, by endpoint
  * @param retryBudgetUse returns the use of retry budgets by this instance
+ * @param crashReports crash reports that this instance knows; those received are added to it
  * @param maxInFlightEndpoints maximum number of endpoints for which requests in flight are
  *     disseminated
  */
@@ -25,6 +28,7 @@
         IntPredicate urgentAccount,
         Supplier<Map<EndpointId, Integer>> inFlight,
         Supplier<RetryUsageTable> retryBudgetUse,
+        CrashReportTable crashReports,
         int maxInFlightEndpoints) {
     /** Checks that no component is null. */
     public DisseminationSources {
@@ -32,10 +36,11 @@
         Objects.requireNonNull(urgentAccount, "urgentAccount");
         Objects.requireNonNull(inFlight, "inFlight");
         Objects.requireNonNull(retryBudgetUse, "retryBudgetUse");
+        Objects.requireNonNull(crashReports, "crashReports");
     }
 
     /**
-     * Creates sources without retry budgets and with the limit {@link
+     * Creates sources without retry budgets and crash reports, and with the limit {@link
      * InFlightAggregator#MAX_ENDPOINTS}, for instances that do not relay traffic and whose
      * endpoints report their load.
      *
@@ -52,6 +57,7 @@
                 urgentAccount,
                 inFlight,
                 () -> RetryUsageTable.EMPTY,
+                new CrashReportTable(MillisClock.wall()),
                 InFlightAggregator.MAX_ENDPOINTS);
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -28,11 +28,17 @@
     private final RelayContext context;
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
+    private final PromptGuard promptGuard;
 
-    PlainRelay(RelayContext context, UpstreamPool pool, StartupWaiter startupWaiter) {
+    PlainRelay(
+            RelayContext context,
+            UpstreamPool pool,
+            StartupWaiter startupWaiter,
+            PromptGuard promptGuard) {
         this.context = context;
         this.pool = pool;
         this.startupWaiter = startupWaiter;
+        this.promptGuard = promptGuard;
     }
 
     /** Response to one attempt, and whether it says that the endpoint did not run the request. */
@@ -57,6 +63,10 @@
         AttemptHistory history = new AttemptHistory();
         context.retryBudget().recordRequest(request.service().name());
         while (true) {
+            Optional<RelayResponse> refusal = promptGuard.refusal(request, history.sentCount > 0);
+            if (refusal.isPresent()) {
+                return refusal.get();
+            }
             Optional<EndpointState> endpoint =
                     context.placement()
                             .choose(
@@ -86,6 +96,7 @@
             RelayedRequest request, EndpointState endpoint, AttemptHistory history)
             throws CallerDisconnectedException {
         history.triedEndpoints.add(endpoint);
+        long startedAtMs = context.clock().nowMs();
         try {
             AttemptResult result = sendAttempt(request, endpoint, history);
             history.sentCount++;
@@ -103,9 +114,11 @@
                     e.mayHaveRun(),
                     "cause",
                     e.getMessage());
-            return e.mayHaveRun()
-                    ? handleAttemptFailure(request, history)
-                    : handleConnectFailure(history);
+            if (!e.mayHaveRun()) {
+                return handleConnectFailure(history);
+            }
+            promptGuard.recordFailure(request, endpoint, context.clock().nowMs() - startedAtMs);
+            return handleAttemptFailure(request, history);
         } catch (RelayTimeoutException e) {
             return Optional.of(
                     history.sentCount == 0 && e.step().equals(STEP_CONNECT)
@@ -151,6 +164,9 @@
         UpstreamResponseHead head = ResponseChecks.receiveHead(connection, request, check);
         byte[] body = connection.readBody(request.exchange().memory(), check);
         boolean notRun = ResponseChecks.isNotRun(head, request.headers());
+        if (head.isSuccess()) {
+            promptGuard.recordAnswer(request);
+        }
         context.health().recordResponse(endpoint.id(), head.status() >= 500 && !notRun);
         return new AttemptResult(RelayResponse.ofEndpoint(head, body), notRun);
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
@@ -23,6 +24,7 @@
  * @param health endpoint health as observed by this instance
  * @param inFlight requests of this instance in flight, by endpoint
  * @param retryBudget limits the retries of the whole fleet
+ * @param quarantine prompts that must not be sent to engines
  * @param responseLimits limits on the responses of endpoints
  * @param metrics metrics of requests, attempts and resumed streams
  * @param clock monotonic clock
@@ -35,6 +37,7 @@
         EndpointHealth health,
         InFlightTracker inFlight,
         FleetRetryBudget retryBudget,
+        PromptQuarantine quarantine,
         ResponseLimits responseLimits,
         Metrics metrics,
         MillisClock clock) {
@@ -48,6 +51,7 @@
         Objects.requireNonNull(health, "health");
         Objects.requireNonNull(inFlight, "inFlight");
         Objects.requireNonNull(retryBudget, "retryBudget");
+        Objects.requireNonNull(quarantine, "quarantine");
         Objects.requireNonNull(responseLimits, "responseLimits");
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(clock, "clock");
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -20,9 +20,6 @@
     /** Interval between checks whether the caller is still connected, in milliseconds. */
     private static final long CALLER_CHECK_INTERVAL_MS = 200;
 
-    /** Time within which a running endpoint accepts a connection, in milliseconds. */
-    private static final long PROBE_TIMEOUT_MS = 120;
-
     /** Retry-After of a response if no endpoint accepts the stream, in milliseconds. */
     private static final long RETRY_AFTER_MS = 500;
 
@@ -32,6 +29,7 @@
     private final RelayContext context;
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
+    private final PromptGuard promptGuard;
     private final RelayedRequest request;
     private final List<EndpointState> failed = new ArrayList<>();
     private StreamAttempt attempt;
@@ -51,10 +49,12 @@
             RelayContext context,
             UpstreamPool pool,
             StartupWaiter startupWaiter,
+            PromptGuard promptGuard,
             RelayedRequest request) {
         this.context = context;
         this.pool = pool;
         this.startupWaiter = startupWaiter;
+        this.promptGuard = promptGuard;
         this.request = request;
         this.lastEventId =
                 request.exchange()
@@ -127,6 +127,7 @@
             recordPause();
             if (firstResponse == null) {
                 firstResponse = attempt.response().orElseThrow();
+                promptGuard.recordAnswer(request);
             }
             context.health().recordResponse(attempt.endpoint().id(), false);
         }
@@ -180,8 +181,20 @@
         }
     }
 
+    /** Fails if the caller has no event yet and the prompt is quarantined. */
+    private void checkQuarantine(String peer) throws StreamFailedException {
+        if (firstResponse != null) {
+            return;
+        }
+        Optional<RelayResponse> refusal = promptGuard.refusal(request, attemptCount > 0);
+        if (refusal.isPresent()) {
+            throw new StreamFailedException(peer, refusal.get());
+        }
+    }
+
     private void checkWait() throws ServiceException {
         checkDeadline();
+        checkQuarantine(attempt.endpoint().address());
         long nowMs = context.clock().nowMs();
         String peer = attempt.endpoint().address();
         if (nowMs - callerCheckedAtMs >= CALLER_CHECK_INTERVAL_MS) {
@@ -197,7 +210,7 @@
         long unprobedMs =
                 nowMs - Math.max(Math.max(waitStartedAtMs, attemptStartedAtMs), probedAtMs);
         if (unprobedMs >= timeouts.probeAfterMs() && isRetryAllowed()) {
-            boolean reachable = pool.probe(attempt.endpoint(), PROBE_TIMEOUT_MS);
+            boolean reachable = pool.probe(attempt.endpoint());
             probedAtMs = context.clock().nowMs();
             if (!reachable) {
                 throw new UpstreamException(
@@ -216,6 +229,7 @@
     }
 
     private void startAttempt() throws ServiceException {
+        checkQuarantine("local");
         List<EndpointState> candidates = candidates();
         Optional<EndpointState> copyHolder =
                 standbyHolder.flatMap(
@@ -309,8 +323,10 @@
             return;
         }
         EndpointId id = attempt.endpoint().id();
+        long attemptMs = context.clock().nowMs() - attemptStartedAtMs;
         boolean reachable =
-                attempt.hasReceivedEvent() || pool.probe(attempt.endpoint(), PROBE_TIMEOUT_MS);
+                attempt.hasReceivedEvent()
+                        || promptGuard.recordFailure(request, attempt.endpoint(), attemptMs);
         markFailed(attempt.endpoint());
         LOG.info(
                 "SAP1915",
@@ -324,7 +340,7 @@
                 "silentMs",
                 context.clock().nowMs() - waitStartedAtMs,
                 "attemptMs",
-                context.clock().nowMs() - attemptStartedAtMs,
+                attemptMs,
                 "eventReceived",
                 attempt.hasReceivedEvent(),
                 "reachable",
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
@@ -18,11 +18,17 @@
     private final RelayContext context;
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
+    private final PromptGuard promptGuard;
 
-    StreamRelay(RelayContext context, UpstreamPool pool, StartupWaiter startupWaiter) {
+    StreamRelay(
+            RelayContext context,
+            UpstreamPool pool,
+            StartupWaiter startupWaiter,
+            PromptGuard promptGuard) {
         this.context = context;
         this.pool = pool;
         this.startupWaiter = startupWaiter;
+        this.promptGuard = promptGuard;
     }
 
     /**
@@ -35,7 +41,8 @@
      */
     void relay(RelayedRequest request) throws IOException, CallerDisconnectedException {
         context.retryBudget().recordRequest(request.service().name());
-        try (RelayedStream stream = new RelayedStream(context, pool, startupWaiter, request)) {
+        try (RelayedStream stream =
+                new RelayedStream(context, pool, startupWaiter, promptGuard, request)) {
             List<EventParser.Event> firstEvents;
             try {
                 firstEvents = stream.nextEvents();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -28,6 +28,7 @@
     private final RelayContext context;
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
+    private final PromptGuard promptGuard;
     private final PlainRelay plainRelay;
     private final StreamRelay streamRelay;
     private final AtomicBoolean refusing = new AtomicBoolean();
@@ -42,8 +43,9 @@
         this.context = Objects.requireNonNull(context, "context");
         this.pool = new UpstreamPool(context.responseLimits(), context.clock());
         this.startupWaiter = new StartupWaiter(context.clock(), refusing::get);
-        this.plainRelay = new PlainRelay(context, pool, startupWaiter);
-        this.streamRelay = new StreamRelay(context, pool, startupWaiter);
+        this.promptGuard = new PromptGuard(context.quarantine(), pool);
+        this.plainRelay = new PlainRelay(context, pool, startupWaiter, promptGuard);
+        this.streamRelay = new StreamRelay(context, pool, startupWaiter, promptGuard);
     }
 
     /** Refuses all further requests with a response that says that they did not run. */
@@ -57,11 +59,12 @@
     }
 
     /**
-     * Closes expired idle connections and drops the health of endpoints that are no longer known.
-     * Called about once a second.
+     * Closes expired idle connections, drops the health of endpoints that are no longer known, and
+     * logs changes of the quarantine. Called about once a second, by one thread.
      */
     public void sweep() {
         pool.sweep();
+        promptGuard.logChanges();
         context.health().retain(context.endpoints().get().byId().keySet());
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamPool.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamPool.java
@@ -30,6 +30,9 @@
     /** Connect timeout in milliseconds; enough within one site. */
     static final long CONNECT_TIMEOUT_MS = 250;
 
+    /** Time within which a running endpoint accepts a connection, in milliseconds. */
+    private static final long PROBE_TIMEOUT_MS = 120;
+
     private static final int MAX_IDLE_PER_ENDPOINT = 8;
 
     private final UpstreamConnection.Environment environment;
@@ -93,13 +96,14 @@
     }
 
     /**
-     * Opens and closes a connection; returns whether the endpoint accepted it within the timeout.
+     * Opens and closes a connection; returns whether the endpoint accepted it within {@value
+     * #PROBE_TIMEOUT_MS} ms.
      */
-    boolean probe(EndpointState endpoint, long timeoutMs) {
+    boolean probe(EndpointState endpoint) {
         openedConnections.increment();
         try {
             UpstreamConnection connection =
-                    UpstreamConnection.open(endpoint, timeoutMs, environment);
+                    UpstreamConnection.open(endpoint, PROBE_TIMEOUT_MS, environment);
             connection.close();
             return true;
         } catch (UpstreamException e) {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/DisseminationServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/DisseminationServiceTests.java
@@ -20,6 +20,8 @@
 import io.sapphirestack.core.membership.EndpointPhase;
 import io.sapphirestack.core.membership.InFlightAggregator;
 import io.sapphirestack.core.membership.ReportTable;
+import io.sapphirestack.core.quarantine.CrashReport;
+import io.sapphirestack.core.quarantine.CrashReportTable;
 import io.sapphirestack.core.record.ModelPin;
 import io.sapphirestack.core.record.ObjectivesSpec;
 import io.sapphirestack.core.record.ResumeSpec;
@@ -90,6 +92,7 @@
                 new BlackboardPart<>(EndpointTable.EMPTY);
         private final DisseminationBlackboardParts parts = DisseminationBlackboardParts.create();
         private int inFlight;
+        private final CrashReportTable crashReports = new CrashReportTable(() -> nowMs);
         private int generations = 1;
         private RetryUsageTable retryBudgetUse = RetryUsageTable.EMPTY;
         private final PrefixIndex prefixes = new PrefixIndex(64);
@@ -124,6 +127,7 @@
                                     handle -> true,
                                     () -> Map.of(EndpointId.of("e1"), inFlight),
                                     () -> retryBudgetUse,
+                                    crashReports,
                                     maxInFlightEndpoints),
                             2,
                             () -> nowMs);
@@ -276,6 +280,37 @@
         }
     }
 
+    /** Views differ and calls fail while reports are made; an instance restarts without them. */
+    @Property(seed = "2713", tries = 20)
+    void crashReportsReachEveryInstanceAlsoAfterARestart(
+            @ForAll @IntRange(min = 2, max = 15) int count, @ForAll long seed) {
+        random = new Random(seed);
+        startMembers(count);
+        for (int step = 0; step < 20; step++) {
+            failurePercent = random.nextInt(60);
+            List<Member> view = new ArrayList<>(members);
+            view.removeIf(m -> random.nextInt(4) == 0);
+            members.get(random.nextInt(count)).setMembershipView(view);
+            CrashReport report =
+                    new CrashReport(step, nowMs, nowMs, List.of(1L, step + 2L), (short) 0);
+            members.get(random.nextInt(count)).crashReports.merge(List.of(report));
+            runRound();
+        }
+        failurePercent = 0;
+        Member restarted = new Member(count);
+        members.set(0, restarted);
+        byAddress.put(restarted.info.peerAddress(), restarted);
+        members.forEach(m -> m.setMembershipView(members));
+        for (int i = 0; i < 20; i++) {
+            runRound();
+        }
+        for (Member member : members) {
+            assertThat(member.crashReports.changedSince(0))
+                    .containsExactlyInAnyOrderElementsOf(restarted.crashReports.changedSince(0));
+        }
+        assertThat(restarted.crashReports.changedSince(0)).hasSizeGreaterThan(count > 4 ? 10 : 0);
+    }
+
     @Example
     void inFlightIsDisseminatedForManyEndpointsIfTheLimitIsRaised() {
         maxInFlightEndpoints = 400;
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -1,6 +1,8 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.core.quarantine.CrashReportTable;
+import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.FleetRetryBudget;
@@ -82,6 +84,9 @@
                                         new FleetRetryBudget.Settings(1, 10, 10_000),
                                         () -> 1,
                                         clock),
+                                new PromptQuarantine(
+                                        new CrashReportTable(MillisClock.wall()),
+                                        MillisClock.wall()),
                                 ResponseLimits.DEFAULT,
                                 new Metrics(),
                                 clock));
