--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -8,6 +8,7 @@
 import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.limit.AccountUsageTable;
 import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.core.limit.NamedRateLimits;
 import io.sapphirestack.core.limit.RetryUsageTable;
 import io.sapphirestack.core.quarantine.CrashReportTable;
 import io.sapphirestack.core.quarantine.PromptQuarantine;
@@ -102,6 +103,7 @@
     private final CrashReportTable crashReports = new CrashReportTable(MillisClock.wall());
     private final PromptQuarantine quarantine =
             new PromptQuarantine(crashReports, MillisClock.wall());
+    private final NamedRateLimits rateLimits = new NamedRateLimits(clock);
     private final ByteBudget messageMemory;
     private final EndpointRegistry endpointRegistry;
     private final DisseminationService dissemination;
@@ -246,6 +248,7 @@
                 inFlight,
                 retryBudget,
                 quarantine,
+                rateLimits,
                 settings.messages().responseLimits(),
                 metrics,
                 clock);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -29,16 +29,19 @@
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
     private final PromptGuard promptGuard;
+    private final RateLimitObserver rateLimits;
 
     PlainRelay(
             RelayContext context,
             UpstreamPool pool,
             StartupWaiter startupWaiter,
-            PromptGuard promptGuard) {
+            PromptGuard promptGuard,
+            RateLimitObserver rateLimits) {
         this.context = context;
         this.pool = pool;
         this.startupWaiter = startupWaiter;
         this.promptGuard = promptGuard;
+        this.rateLimits = rateLimits;
     }
 
     /** Response to one attempt, and whether it says that the endpoint did not run the request. */
@@ -146,8 +149,9 @@
         UpstreamConnection connection = pool.acquire(endpoint, request);
         try (DispatchPermit permit =
                 context.inFlight().begin(endpoint.id(), RelayWorkKind.REQUEST.weight())) {
+            long sentAtMs = context.clock().nowMs();
             connection.send(request, request.headersFor(endpoint, context.clock()));
-            AttemptResult result = receiveResult(request, connection);
+            AttemptResult result = receiveResult(request, connection, sentAtMs);
             pool.release(connection);
             return result;
         } catch (ServiceException e) {
@@ -156,12 +160,14 @@
         }
     }
 
-    private AttemptResult receiveResult(RelayedRequest request, UpstreamConnection connection)
+    private AttemptResult receiveResult(
+            RelayedRequest request, UpstreamConnection connection, long sentAtMs)
             throws ServiceException {
         EndpointState endpoint = connection.endpoint();
         UpstreamConnection.WaitCheck check =
                 () -> request.checkActive(context.clock(), endpoint.address());
         UpstreamResponseHead head = ResponseChecks.receiveHead(connection, request, check);
+        rateLimits.observe(head, request, endpoint, sentAtMs);
         byte[] body = connection.readBody(request.exchange().memory(), check);
         boolean notRun = ResponseChecks.isNotRun(head, request.headers());
         if (head.isSuccess()) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.limit.NamedRateLimits;
 import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.FleetRetryBudget;
@@ -25,6 +26,7 @@
  * @param inFlight requests of this instance in flight, by endpoint
  * @param retryBudget limits the retries of the whole fleet
  * @param quarantine prompts that must not be sent to engines
+ * @param rateLimits rate limits that endpoints name
  * @param responseLimits limits on the responses of endpoints
  * @param metrics metrics of requests, attempts and resumed streams
  * @param clock monotonic clock
@@ -38,6 +40,7 @@
         InFlightTracker inFlight,
         FleetRetryBudget retryBudget,
         PromptQuarantine quarantine,
+        NamedRateLimits rateLimits,
         ResponseLimits responseLimits,
         Metrics metrics,
         MillisClock clock) {
@@ -52,6 +55,7 @@
         Objects.requireNonNull(inFlight, "inFlight");
         Objects.requireNonNull(retryBudget, "retryBudget");
         Objects.requireNonNull(quarantine, "quarantine");
+        Objects.requireNonNull(rateLimits, "rateLimits");
         Objects.requireNonNull(responseLimits, "responseLimits");
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(clock, "clock");
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
@@ -20,6 +20,8 @@
  * @param resumeFrom standby copy from which a request continues
  * @param promptParts parts of the prompt in order, as comma-separated {@code id:tokens} entries;
  *     the last part belongs to the request or its session
+ * @param rateLimit requests per second that an endpoint takes from all instances together, a
+ *     decimal number in its responses
  * @param reserved further fields that are dropped from the requests of callers, because only this
  *     system may set them
  */
@@ -35,6 +37,7 @@
         String standby,
         String resumeFrom,
         String promptParts,
+        String rateLimit,
         Set<String> reserved) {
 
     /** Names of the project's own HTTP interface. */
@@ -51,6 +54,7 @@
                     "Sapphire-Standby",
                     "Sapphire-Resume-From",
                     "Sapphire-Prompt-Parts",
+                    "Sapphire-Rate-Limit",
                     Set.of());
 
     private static final Set<String> HOP_BY_HOP =
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -30,6 +30,7 @@
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
     private final PromptGuard promptGuard;
+    private final RateLimitObserver rateLimits;
     private final RelayedRequest request;
     private final List<EndpointState> failed = new ArrayList<>();
     private StreamAttempt attempt;
@@ -50,11 +51,13 @@
             UpstreamPool pool,
             StartupWaiter startupWaiter,
             PromptGuard promptGuard,
+            RateLimitObserver rateLimits,
             RelayedRequest request) {
         this.context = context;
         this.pool = pool;
         this.startupWaiter = startupWaiter;
         this.promptGuard = promptGuard;
+        this.rateLimits = rateLimits;
         this.request = request;
         this.lastEventId =
                 request.exchange()
@@ -116,6 +119,7 @@
     private List<EventParser.Event> pollAttempt() throws ServiceException {
         if (attempt.response().isEmpty()) {
             UpstreamResponseHead head = attempt.receiveHead(this::checkWait);
+            rateLimits.observe(head, request, attempt.endpoint(), attemptStartedAtMs);
             if (!head.isSuccess()) {
                 handleRefusal(head, attempt.readBody(this::checkWait));
                 return List.of();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
@@ -19,16 +19,19 @@
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
     private final PromptGuard promptGuard;
+    private final RateLimitObserver rateLimits;
 
     StreamRelay(
             RelayContext context,
             UpstreamPool pool,
             StartupWaiter startupWaiter,
-            PromptGuard promptGuard) {
+            PromptGuard promptGuard,
+            RateLimitObserver rateLimits) {
         this.context = context;
         this.pool = pool;
         this.startupWaiter = startupWaiter;
         this.promptGuard = promptGuard;
+        this.rateLimits = rateLimits;
     }
 
     /**
@@ -42,7 +45,7 @@
     void relay(RelayedRequest request) throws IOException, CallerDisconnectedException {
         context.retryBudget().recordRequest(request.service().name());
         try (RelayedStream stream =
-                new RelayedStream(context, pool, startupWaiter, promptGuard, request)) {
+                new RelayedStream(context, pool, startupWaiter, promptGuard, rateLimits, request)) {
             List<EventParser.Event> firstEvents;
             try {
                 firstEvents = stream.nextEvents();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -44,8 +44,9 @@
         this.pool = new UpstreamPool(context.responseLimits(), context.clock());
         this.startupWaiter = new StartupWaiter(context.clock(), refusing::get);
         this.promptGuard = new PromptGuard(context.quarantine(), pool);
-        this.plainRelay = new PlainRelay(context, pool, startupWaiter, promptGuard);
-        this.streamRelay = new StreamRelay(context, pool, startupWaiter, promptGuard);
+        RateLimitObserver rateLimits = new RateLimitObserver(context.rateLimits());
+        this.plainRelay = new PlainRelay(context, pool, startupWaiter, promptGuard, rateLimits);
+        this.streamRelay = new StreamRelay(context, pool, startupWaiter, promptGuard, rateLimits);
     }
 
     /** Refuses all further requests with a response that says that they did not run. */
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.core.limit.NamedRateLimits;
 import io.sapphirestack.core.quarantine.CrashReportTable;
 import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.relay.CallerLimits;
@@ -87,6 +88,7 @@
                                 new PromptQuarantine(
                                         new CrashReportTable(MillisClock.wall()),
                                         MillisClock.wall()),
+                                new NamedRateLimits(clock),
                                 ResponseLimits.DEFAULT,
                                 new Metrics(),
                                 clock));
