Keep the requests of all instances within the rate limits that endpoints name

Cause: placement knows load, slots and health, but no bound on the rate of requests to one endpoint over the whole fleet.

Change: instances disseminate the limits that they see and share each in proportion to the requests of their callers, known from the use of the retry budgets. A request without a permitted endpoint is refused as not run with the time to the next slot.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/limit/NamedRateLimits.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/limit/NamedRateLimits.java
@@ -96,6 +96,19 @@
         return byEndpoint.isEmpty();
     }
 
+    /**
+     * Returns the limit of an endpoint.
+     *
+     * @param endpointHandle handle of its process
+     * @return thousandths of a request per second, empty if no limit is in force
+     */
+    public OptionalInt limitOf(int endpointHandle) {
+        Observation known = byEndpoint.get(endpointHandle);
+        return known != null && isValid(known)
+                ? OptionalInt.of(known.milliPerS())
+                : OptionalInt.empty();
+    }
+
     /** Returns the limits in force, in thousandths of a request per second, by endpoint handle. */
     public Map<Integer, Integer> current() {
         byEndpoint.values().removeIf(observation -> !isValid(observation));
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/FleetRetryBudget.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/FleetRetryBudget.java
@@ -31,6 +31,15 @@
     /** Fraction of its own share that an instance may use although the shared pool is empty. */
     static final double OWN_SHARE_FRACTION = 0.15;
 
+    /**
+     * Age of the own requests that a share is computed from, in milliseconds: about that of the
+     * requests of others. Otherwise all shares would grow at once at the start of a burst.
+     */
+    static final long SHARE_LAG_MS = 500;
+
+    /** Requests assumed for each instance, so that a few requests do not change its share much. */
+    static final double SHARE_PRIOR_REQUESTS = 2;
+
     private final Settings settings;
     private final IntSupplier instances;
     private final Function<String, Optional<RetryUsage>> others;
@@ -116,6 +125,26 @@
         return Math.max(0, (int) allowed(service, window) - window.retriesAtMs.size());
     }
 
+    /**
+     * Returns the share of this instance in the requests for a service that callers sent to all
+     * instances within the window. The shares of all instances add up to about 1.
+     *
+     * @param service name of the service
+     * @return share from 0 to 1; an equal part if no request is known
+     */
+    public synchronized double requestShare(String service) {
+        int instanceCount = Math.max(1, instances.getAsInt());
+        RetryUsage known = others.apply(service).orElse(RetryUsage.NONE);
+        long latestMs = clock.nowMs() - SHARE_LAG_MS;
+        long ownRequests =
+                window(service).requestsAtMs.stream().filter(atMs -> atMs <= latestMs).count();
+        // Instances whose usage is not known are assumed to have as many requests as the others.
+        double unknownFactor = Math.max(1, instanceCount / (1.0 + known.instances()));
+        double allRequests = (ownRequests + known.requests()) * unknownFactor;
+        return (ownRequests + SHARE_PRIOR_REQUESTS)
+                / (allRequests + SHARE_PRIOR_REQUESTS * instanceCount);
+    }
+
     /** Returns the usage by this instance within the window, by service name. */
     public synchronized Map<String, RetryUsage> localUsage() {
         Map<String, RetryUsage> usage = new HashMap<>();
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -15,6 +15,7 @@
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
+import io.sapphirestack.core.relay.EndpointRateLimiter;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.RelayWorkKind;
@@ -225,6 +226,7 @@
                                 inFlight::snapshot,
                                 () -> RetryUsageTable.ofServices(retryBudget.localUsage()),
                                 crashReports,
+                                rateLimits::current,
                                 IN_FLIGHT_REPORT_LIMIT_ENDPOINTS),
                         DISSEMINATION_FAN_OUT,
                         clock);
@@ -248,7 +250,12 @@
                 inFlight,
                 retryBudget,
                 quarantine,
-                rateLimits,
+                new EndpointRateLimiter(
+                        rateLimits,
+                        disseminationParts.rateLimits()::read,
+                        retryBudget::requestShare,
+                        () -> ThreadLocalRandom.current().nextDouble(),
+                        clock),
                 settings.messages().responseLimits(),
                 metrics,
                 clock);
@@ -267,6 +274,10 @@
                 "sapphire_quarantined_prompt_parts",
                 "Prompt parts that are not sent to engines because they crash them.",
                 quarantine::size);
+        metrics.registerGauge(
+                "sapphire_rate_limited_endpoints",
+                "Endpoints that named a rate limit to this instance.",
+                () -> rateLimits.current().size());
         metrics.registerGauge(
                 "sapphire_caller_connections",
                 "Open connections of callers.",
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBatch.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBatch.java
@@ -20,11 +20,13 @@
  * @param b use of retry budgets, encoded by {@link
  *     io.sapphirestack.core.membership.RetryBudgetAggregator}
  * @param q crash reports, encoded by {@link io.sapphirestack.core.quarantine.CrashReportExchange}
+ * @param l rate limits of endpoints, encoded by {@link
+ *     io.sapphirestack.core.membership.RateLimitAggregator}
  */
 @PeerMessage(code = 40, reply = DisseminationBatch.Ack.class)
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
 public record DisseminationBatch(
-        InstanceId s, int t, byte[] r, byte[] u, byte[] f, byte[] b, byte[] q)
+        InstanceId s, int t, byte[] r, byte[] u, byte[] f, byte[] b, byte[] q, byte[] l)
         implements PeerRequest<DisseminationBatch.Ack> {
 
     /** Checks that the sender is present; absent byte arrays become empty. */
@@ -35,11 +37,12 @@
         f = f == null ? new byte[0] : f;
         b = b == null ? new byte[0] : b;
         q = q == null ? new byte[0] : q;
+        l = l == null ? new byte[0] : l;
     }
 
     /** Returns whether the batch contains nothing to apply. */
     boolean hasNoContent() {
-        return r.length + u.length + f.length + b.length + q.length == 0;
+        return r.length + u.length + f.length + b.length + q.length + l.length == 0;
     }
 
     /**
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBlackboardParts.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBlackboardParts.java
@@ -2,6 +2,7 @@
 
 import io.sapphirestack.core.blackboard.BlackboardPart;
 import io.sapphirestack.core.limit.AccountUsageTable;
+import io.sapphirestack.core.limit.RateLimitTable;
 import io.sapphirestack.core.limit.RetryUsageTable;
 import io.sapphirestack.core.membership.InFlightTable;
 import java.util.Objects;
@@ -13,16 +14,19 @@
  * @param usage usage of client accounts at all other instances
  * @param inFlight requests in flight of all other instances, by endpoint
  * @param retryBudgetUse use of retry budgets by all other instances
+ * @param rateLimits rate limits that endpoints named to other instances
  */
 public record DisseminationBlackboardParts(
         BlackboardPart<AccountUsageTable> usage,
         BlackboardPart<InFlightTable> inFlight,
-        BlackboardPart<RetryUsageTable> retryBudgetUse) {
+        BlackboardPart<RetryUsageTable> retryBudgetUse,
+        BlackboardPart<RateLimitTable> rateLimits) {
     /** Checks that no component is null. */
     public DisseminationBlackboardParts {
         Objects.requireNonNull(usage, "usage");
         Objects.requireNonNull(inFlight, "inFlight");
         Objects.requireNonNull(retryBudgetUse, "retryBudgetUse");
+        Objects.requireNonNull(rateLimits, "rateLimits");
     }
 
     /** Creates empty parts. */
@@ -30,6 +34,7 @@
         return new DisseminationBlackboardParts(
                 new BlackboardPart<>(AccountUsageTable.EMPTY),
                 new BlackboardPart<>(InFlightTable.UNKNOWN),
-                new BlackboardPart<>(RetryUsageTable.EMPTY));
+                new BlackboardPart<>(RetryUsageTable.EMPTY),
+                new BlackboardPart<>(RateLimitTable.EMPTY));
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
@@ -12,6 +12,7 @@
 import io.sapphirestack.core.membership.EndpointReport;
 import io.sapphirestack.core.membership.InFlightAggregator;
 import io.sapphirestack.core.membership.InFlightTable;
+import io.sapphirestack.core.membership.RateLimitAggregator;
 import io.sapphirestack.core.membership.RetryBudgetAggregator;
 import io.sapphirestack.core.membership.UsageAggregator;
 import io.sapphirestack.core.quarantine.CrashReportExchange;
@@ -33,9 +34,9 @@
 import org.jboss.logging.Logger;
 
 /**
- * Sends endpoint reports, account usage, requests in flight, the use of retry budgets and crash
- * reports to the neighbours in the dissemination tree. Periodic anti-entropy exchanges repair what
- * a neighbour missed. {@link #tick()} does all periodic work and is called every {@link
+ * Sends endpoint reports, account usage, requests in flight, the use of retry budgets, rate limits
+ * and crash reports to the neighbours in the dissemination tree. Periodic anti-entropy exchanges
+ * repair what a neighbour missed. {@link #tick()} does all periodic work and is called every {@link
  * #BATCH_INTERVAL_MS}. Thread-safe.
  */
 public final class DisseminationService implements AutoCloseable {
@@ -74,6 +75,7 @@
     private final UsageAggregator usage = new UsageAggregator();
     private final InFlightAggregator inFlight = new InFlightAggregator();
     private final RetryBudgetAggregator retryBudgets = new RetryBudgetAggregator();
+    private final RateLimitAggregator rateLimits = new RateLimitAggregator();
     private final CrashReportExchange crashReports;
     private final Map<InstanceId, Neighbour> neighbours = new HashMap<>();
     private Set<InstanceInfo> treeMembers = Set.of();
@@ -191,6 +193,7 @@
             }
             parts.usage().publish(usage.others());
             parts.retryBudgetUse().publish(retryBudgets.others());
+            parts.rateLimits().publish(rateLimits.others());
             parts.inFlight()
                     .publish(
                             disseminatesInFlight && tree.contains(ownId)
@@ -224,6 +227,7 @@
         usage.retainNeighbours(neighbours.keySet());
         inFlight.retainNeighbours(neighbours.keySet());
         retryBudgets.retainNeighbours(neighbours.keySet());
+        rateLimits.retainNeighbours(neighbours.keySet());
         crashReports.sendAllNext();
         LOG.debugf(
                 "SAP3011 Dissemination tree has %d instances, neighbours of this one are %s",
@@ -265,7 +269,8 @@
                         neighbour.info.ref().id(),
                         sources.retryBudgetUse().get().byHandle(),
                         probe),
-                crashReports.encodeFor(neighbour.info.ref().id()));
+                crashReports.encodeFor(neighbour.info.ref().id()),
+                rateLimits.encodeFor(neighbour.info.ref().id(), sources.rateLimits().get(), probe));
     }
 
     /** Keeps only the latest events, because they describe the current state of the cache best. */
@@ -318,6 +323,7 @@
             usage.sendFullNext(neighbour.info.ref().id());
             inFlight.sendFullNext(neighbour.info.ref().id());
             retryBudgets.sendFullNext(neighbour.info.ref().id());
+            rateLimits.sendFullNext(neighbour.info.ref().id());
             crashReports.sendAllNext(neighbour.info.ref().id());
         }
     }
@@ -332,7 +338,8 @@
                 applied =
                         usage.receive(batch.s(), batch.u())
                                 & inFlight.receive(batch.s(), batch.f())
-                                & retryBudgets.receive(batch.s(), batch.b());
+                                & retryBudgets.receive(batch.s(), batch.b())
+                                & rateLimits.receive(batch.s(), batch.l());
             }
         }
         return new DisseminationBatch.Ack(merged.missing(), !applied);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationSources.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationSources.java
@@ -20,6 +20,8 @@
  * @param inFlight returns the number of requests in flight at this instance, by endpoint
  * @param retryBudgetUse returns the use of retry budgets by this instance
  * @param crashReports crash reports that this instance knows; those received are added to it
+ * @param rateLimits returns the rate limits that endpoints name to this instance, in thousandths of
+ *     a request per second by endpoint handle
  * @param maxInFlightEndpoints maximum number of endpoints for which requests in flight are
  *     disseminated
  */
@@ -29,6 +31,7 @@
         Supplier<Map<EndpointId, Integer>> inFlight,
         Supplier<RetryUsageTable> retryBudgetUse,
         CrashReportTable crashReports,
+        Supplier<Map<Integer, Integer>> rateLimits,
         int maxInFlightEndpoints) {
     /** Checks that no component is null. */
     public DisseminationSources {
@@ -37,11 +40,12 @@
         Objects.requireNonNull(inFlight, "inFlight");
         Objects.requireNonNull(retryBudgetUse, "retryBudgetUse");
         Objects.requireNonNull(crashReports, "crashReports");
+        Objects.requireNonNull(rateLimits, "rateLimits");
     }
 
     /**
-     * Creates sources without retry budgets and crash reports, and with the limit {@link
-     * InFlightAggregator#MAX_ENDPOINTS}, for instances that do not relay traffic and whose
+     * Creates sources without retry budgets, crash reports and rate limits, and with the limit
+     * {@link InFlightAggregator#MAX_ENDPOINTS}, for instances that do not relay traffic and whose
      * endpoints report their load.
      *
      * @param usage returns the usage of client accounts at this instance
@@ -58,6 +62,7 @@
                 inFlight,
                 () -> RetryUsageTable.EMPTY,
                 new CrashReportTable(MillisClock.wall()),
+                Map::of,
                 InFlightAggregator.MAX_ENDPOINTS);
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.relay.RateLimitedPlacement;
 import io.sapphirestack.core.relay.RelayWorkKind;
 import io.sapphirestack.core.routing.DispatchPermit;
 import io.sapphirestack.core.routing.EndpointState;
@@ -30,6 +31,7 @@
     private final StartupWaiter startupWaiter;
     private final PromptGuard promptGuard;
     private final RateLimitObserver rateLimits;
+    private final RateLimitedPlacement placement;
 
     PlainRelay(
             RelayContext context,
@@ -42,6 +44,7 @@
         this.startupWaiter = startupWaiter;
         this.promptGuard = promptGuard;
         this.rateLimits = rateLimits;
+        this.placement = new RateLimitedPlacement(context.placement(), context.rateLimiter());
     }
 
     /** Response to one attempt, and whether it says that the endpoint did not run the request. */
@@ -70,18 +73,12 @@
             if (refusal.isPresent()) {
                 return refusal.get();
             }
+            List<EndpointState> candidates =
+                    startupWaiter.awaitEndpoints(request, () -> endpoints(request), false);
             Optional<EndpointState> endpoint =
-                    context.placement()
-                            .choose(
-                                    RelayWorkKind.REQUEST,
-                                    startupWaiter.awaitEndpoints(
-                                            request, () -> endpoints(request), false),
-                                    history.triedEndpoints);
+                    placement.choose(RelayWorkKind.REQUEST, candidates, history.triedEndpoints);
             if (endpoint.isEmpty()) {
-                return history.lastResponse.orElseGet(
-                        () ->
-                                RelayResponse.notRun(
-                                        "no endpoint is known", UNREACHABLE_RETRY_AFTER_MS));
+                return history.lastResponse.orElseGet(() -> unplaced(candidates));
             }
             Optional<RelayResponse> response = attempt(request, endpoint.get(), history);
             if (response.isPresent()) {
@@ -90,6 +87,13 @@
         }
     }
 
+    /** Returns the response to a request that no endpoint may be sent. */
+    private RelayResponse unplaced(List<EndpointState> candidates) {
+        return candidates.isEmpty()
+                ? RelayResponse.notRun("no endpoint is known", UNREACHABLE_RETRY_AFTER_MS)
+                : RelayResponse.rateLimited(context.rateLimiter().retryAfterMs(candidates));
+    }
+
     private List<EndpointState> endpoints(RelayedRequest request) {
         return context.endpoints().get().ofService(request.service().name());
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -1,8 +1,8 @@
 package io.sapphirestack.runtime.relay;
 
-import io.sapphirestack.core.limit.NamedRateLimits;
 import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.relay.EndpointHealth;
+import io.sapphirestack.core.relay.EndpointRateLimiter;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.ResponseLimits;
@@ -26,7 +26,7 @@
  * @param inFlight requests of this instance in flight, by endpoint
  * @param retryBudget limits the retries of the whole fleet
  * @param quarantine prompts that must not be sent to engines
- * @param rateLimits rate limits that endpoints name
+ * @param rateLimiter keeps the requests to endpoints within the limits that they name
  * @param responseLimits limits on the responses of endpoints
  * @param metrics metrics of requests, attempts and resumed streams
  * @param clock monotonic clock
@@ -40,7 +40,7 @@
         InFlightTracker inFlight,
         FleetRetryBudget retryBudget,
         PromptQuarantine quarantine,
-        NamedRateLimits rateLimits,
+        EndpointRateLimiter rateLimiter,
         ResponseLimits responseLimits,
         Metrics metrics,
         MillisClock clock) {
@@ -55,7 +55,7 @@
         Objects.requireNonNull(inFlight, "inFlight");
         Objects.requireNonNull(retryBudget, "retryBudget");
         Objects.requireNonNull(quarantine, "quarantine");
-        Objects.requireNonNull(rateLimits, "rateLimits");
+        Objects.requireNonNull(rateLimiter, "rateLimiter");
         Objects.requireNonNull(responseLimits, "responseLimits");
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(clock, "clock");
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayResponse.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayResponse.java
@@ -60,6 +60,16 @@
         return new RelayResponse(response.status(), headers, response.body(), reason);
     }
 
+    /**
+     * Returns the response to a request that has not run, because all endpoints have received the
+     * requests that they take.
+     *
+     * @param retryAfterMs time until an endpoint may take more, in milliseconds
+     */
+    static RelayResponse rateLimited(long retryAfterMs) {
+        return notRun("the rate limits that the endpoints name are used up", retryAfterMs);
+    }
+
     /** Returns a 502 for a request that may have run and whose response is not known. */
     static RelayResponse outcomeUnknown(String reason) {
         return generated(OUTCOME_UNKNOWN, reason);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.relay.RateLimitedPlacement;
 import io.sapphirestack.core.relay.RelayWorkKind;
 import io.sapphirestack.core.relay.StreamTimeouts;
 import io.sapphirestack.core.routing.EndpointState;
@@ -31,6 +32,7 @@
     private final StartupWaiter startupWaiter;
     private final PromptGuard promptGuard;
     private final RateLimitObserver rateLimits;
+    private final RateLimitedPlacement placement;
     private final RelayedRequest request;
     private final List<EndpointState> failed = new ArrayList<>();
     private StreamAttempt attempt;
@@ -58,6 +60,7 @@
         this.startupWaiter = startupWaiter;
         this.promptGuard = promptGuard;
         this.rateLimits = rateLimits;
+        this.placement = new RateLimitedPlacement(context.placement(), context.rateLimiter());
         this.request = request;
         this.lastEventId =
                 request.exchange()
@@ -239,13 +242,11 @@
                 standbyHolder.flatMap(
                         holder -> candidates.stream().filter(holder::isSameProcess).findFirst());
         standbyHolder = Optional.empty();
+        copyHolder.ifPresent(context.rateLimiter()::acquire);
         EndpointState endpoint =
                 copyHolder
-                        .or(
-                                () ->
-                                        context.placement()
-                                                .choose(RelayWorkKind.PROMPT, candidates, failed))
-                        .orElseThrow(() -> streamFailed("local"));
+                        .or(() -> chooseEndpoint(candidates))
+                        .orElseThrow(() -> unplaced(candidates));
         UpstreamConnection connection = connect(endpoint);
         if (attemptCount > 0
                 && (!isRetryAllowed()
@@ -290,6 +291,21 @@
         }
     }
 
+    /** Chooses the endpoint of an attempt without a copy; a stream that has begun has priority. */
+    private Optional<EndpointState> chooseEndpoint(List<EndpointState> candidates) {
+        return firstResponse == null
+                ? placement.choose(RelayWorkKind.PROMPT, candidates, failed)
+                : placement.chooseToContinue(RelayWorkKind.PROMPT, candidates, failed);
+    }
+
+    private StreamFailedException unplaced(List<EndpointState> candidates) {
+        if (candidates.isEmpty() || lastResponse.isPresent()) {
+            return streamFailed("local");
+        }
+        long retryAfterMs = context.rateLimiter().retryAfterMs(candidates);
+        return new StreamFailedException("local", RelayResponse.rateLimited(retryAfterMs));
+    }
+
     private List<EndpointState> candidates() throws CallerDisconnectedException {
         Supplier<List<EndpointState>> known =
                 () -> context.endpoints().get().ofService(request.service().name());
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -44,7 +44,7 @@
         this.pool = new UpstreamPool(context.responseLimits(), context.clock());
         this.startupWaiter = new StartupWaiter(context.clock(), refusing::get);
         this.promptGuard = new PromptGuard(context.quarantine(), pool);
-        RateLimitObserver rateLimits = new RateLimitObserver(context.rateLimits());
+        RateLimitObserver rateLimits = new RateLimitObserver(context.rateLimiter().named());
         this.plainRelay = new PlainRelay(context, pool, startupWaiter, promptGuard, rateLimits);
         this.streamRelay = new StreamRelay(context, pool, startupWaiter, promptGuard, rateLimits);
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/DisseminationServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/DisseminationServiceTests.java
@@ -3,47 +3,23 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import io.sapphirestack.core.blackboard.BlackboardPart;
-import io.sapphirestack.core.control.ControlView;
-import io.sapphirestack.core.control.InstanceInfo;
 import io.sapphirestack.core.error.RefusedException;
 import io.sapphirestack.core.id.EndpointId;
-import io.sapphirestack.core.id.InstanceId;
-import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.limit.AccountUsage;
-import io.sapphirestack.core.limit.AccountUsageTable;
 import io.sapphirestack.core.limit.RetryUsage;
 import io.sapphirestack.core.limit.RetryUsageTable;
 import io.sapphirestack.core.membership.CacheEvent;
 import io.sapphirestack.core.membership.EndpointAnnouncement;
-import io.sapphirestack.core.membership.EndpointLoad;
 import io.sapphirestack.core.membership.EndpointPhase;
-import io.sapphirestack.core.membership.InFlightAggregator;
 import io.sapphirestack.core.membership.ReportTable;
-import io.sapphirestack.core.quarantine.CrashReport;
-import io.sapphirestack.core.quarantine.CrashReportTable;
 import io.sapphirestack.core.record.ModelPin;
-import io.sapphirestack.core.record.ObjectivesSpec;
-import io.sapphirestack.core.record.ResumeSpec;
-import io.sapphirestack.core.record.ServiceSpec;
-import io.sapphirestack.core.record.ServiceType;
 import io.sapphirestack.core.routing.EndpointState;
-import io.sapphirestack.core.routing.EndpointTable;
 import io.sapphirestack.core.routing.PrefixHashes;
-import io.sapphirestack.core.routing.PrefixIndex;
-import io.sapphirestack.core.trust.KeyHash;
-import io.sapphirestack.runtime.transport.PeerHandler;
-import io.sapphirestack.runtime.transport.PeerHandlerRegistry;
-import io.sapphirestack.runtime.transport.PeerRequest;
-import io.sapphirestack.runtime.transport.PeerTransport;
-import io.sapphirestack.runtime.transport.TransportException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -55,182 +31,7 @@
  * newer state by older state. Calls that fail and membership views that differ between instances
  * cause such faults. Instances run in one process with a simulated network.
  */
-class DisseminationServiceTests {
-    private static final String KEY = "secret";
-    private static final ServiceSpec SERVICE =
-            new ServiceSpec(
-                    ServiceType.ENGINE,
-                    KeyHash.create(KEY, new byte[] {1, 2, 3}),
-                    true,
-                    false,
-                    0,
-                    1_000,
-                    5_000,
-                    ResumeSpec.DEFAULT,
-                    ObjectivesSpec.DEFAULT);
-
-    private long nowMs = 1_000_000;
-    private Random random = new Random(1);
-    private final Map<String, Member> byAddress = new HashMap<>();
-    private final List<Member> members = new ArrayList<>();
-    private final List<Runnable> network = new ArrayList<>();
-
-    /** Maximum number of endpoints for which the members disseminate requests in flight. */
-    private int maxInFlightEndpoints = InFlightAggregator.MAX_ENDPOINTS;
-
-    /** Percentage of calls that fail. */
-    private int failurePercent;
-
-    /** Number of batches with reports sent over each directed edge. */
-    private final Map<String, Integer> sendsByEdge = new HashMap<>();
-
-    /** Instance with the real registry and dissemination service and a simulated transport. */
-    private final class Member implements PeerTransport, PeerHandlerRegistry {
-        private final InstanceInfo info;
-        private final BlackboardPart<ControlView> control = new BlackboardPart<>(ControlView.EMPTY);
-        private final BlackboardPart<EndpointTable> table =
-                new BlackboardPart<>(EndpointTable.EMPTY);
-        private final DisseminationBlackboardParts parts = DisseminationBlackboardParts.create();
-        private int inFlight;
-        private final CrashReportTable crashReports = new CrashReportTable(() -> nowMs);
-        private int generations = 1;
-        private RetryUsageTable retryBudgetUse = RetryUsageTable.EMPTY;
-        private final PrefixIndex prefixes = new PrefixIndex(64);
-        private final Map<Class<?>, PeerHandler<?, ?>> handlers = new HashMap<>();
-        private final EndpointRegistry registry;
-        private final DisseminationService dissemination;
-
-        Member(int number) {
-            info =
-                    new InstanceInfo(
-                            new InstanceRef(InstanceId.of("i" + number), 1),
-                            "az" + number % 4,
-                            "r1",
-                            "p" + number,
-                            "h" + number,
-                            1);
-            registry =
-                    new EndpointRegistry(
-                            table,
-                            s -> s.equals("scribe") ? Optional.of(SERVICE) : Optional.empty(),
-                            prefixes,
-                            () -> nowMs);
-            dissemination =
-                    new DisseminationService(
-                            this,
-                            control,
-                            new BlackboardPart<>(Optional.of(info.ref())),
-                            registry,
-                            parts,
-                            new DisseminationSources(
-                                    this::localUsage,
-                                    handle -> true,
-                                    () -> Map.of(EndpointId.of("e1"), inFlight),
-                                    () -> retryBudgetUse,
-                                    crashReports,
-                                    maxInFlightEndpoints),
-                            2,
-                            () -> nowMs);
-            dissemination.register(this);
-        }
-
-        private AccountUsageTable localUsage() {
-            return generations == 0
-                    ? AccountUsageTable.EMPTY
-                    : new AccountUsageTable(Map.of(7, new AccountUsage(generations, 0, 0)));
-        }
-
-        void setMembershipView(List<Member> live) {
-            Map<InstanceId, InstanceInfo> instances = new HashMap<>();
-            live.forEach(m -> instances.put(m.info.ref().id(), m.info));
-            control.publish(new ControlView(1, Map.of(), instances, List.of()));
-        }
-
-        @Override
-        public <Q extends PeerRequest<R>, R> void register(
-                Class<Q> type, PeerHandler<Q, R> handler) {
-            handlers.put(type, handler);
-        }
-
-        @Override
-        public <R> CompletableFuture<R> call(
-                String address, PeerRequest<R> request, long timeoutMs) {
-            CompletableFuture<R> result = new CompletableFuture<>();
-            boolean fails = random.nextInt(100) < failurePercent;
-            countReportBatch(address, request);
-            network.add(
-                    () -> {
-                        if (fails) {
-                            result.completeExceptionally(
-                                    new TransportException("call", address, "lost", true, null));
-                        } else {
-                            byAddress.get(address).serve(request).thenAccept(result::complete);
-                        }
-                    });
-            return result;
-        }
-
-        private void countReportBatch(String address, PeerRequest<?> request) {
-            if (request instanceof DisseminationBatch batch && batch.r().length > 0) {
-                sendsByEdge.merge(info.peerAddress() + ">" + address, 1, Integer::sum);
-            }
-        }
-
-        @SuppressWarnings("unchecked")
-        private <R> CompletableFuture<R> serve(PeerRequest<R> request) {
-            PeerHandler<PeerRequest<R>, R> handler =
-                    (PeerHandler<PeerRequest<R>, R>) handlers.get(request.getClass());
-            return handler.handle(request);
-        }
-    }
-
-    private void startMembers(int count) {
-        nowMs = 1_000_000;
-        byAddress.clear();
-        members.clear();
-        network.clear();
-        sendsByEdge.clear();
-        failurePercent = 0;
-        for (int i = 0; i < count; i++) {
-            Member member = new Member(i);
-            members.add(member);
-            byAddress.put(member.info.peerAddress(), member);
-        }
-        members.forEach(m -> m.setMembershipView(members));
-    }
-
-    /** Ticks every member, then delivers all messages in random order. */
-    private void runRound() {
-        nowMs += DisseminationService.BATCH_INTERVAL_MS;
-        members.forEach(m -> m.dissemination.tick());
-        while (!network.isEmpty()) {
-            network.remove(random.nextInt(network.size())).run();
-        }
-    }
-
-    private static EndpointAnnouncement announcement(
-            String id, long epochMs, long sequence, String version, List<CacheEvent> events) {
-        return new EndpointAnnouncement(
-                EndpointId.of(id),
-                "scribe",
-                "127.0.0.1:1",
-                "az1",
-                epochMs,
-                sequence,
-                List.of(new ModelPin("m", "", version)),
-                new EndpointLoad((int) sequence, 0, 8, 0),
-                events,
-                0,
-                EndpointPhase.SERVING);
-    }
-
-    private void announce(Member at, String id, long epochMs, long sequence, String version) {
-        try {
-            at.registry.receive(announcement(id, epochMs, sequence, version, List.of()), KEY);
-        } catch (RefusedException e) {
-            throw new AssertionError(e);
-        }
-    }
+class DisseminationServiceTests extends AbstractDisseminationTests {
 
     @Property(seed = "2711", tries = 40)
     void eachReportIsSentOverEachEdgeOnceAndReachesEveryInstance(
@@ -280,37 +81,6 @@
         }
     }
 
-    /** Views differ and calls fail while reports are made; an instance restarts without them. */
-    @Property(seed = "2713", tries = 20)
-    void crashReportsReachEveryInstanceAlsoAfterARestart(
-            @ForAll @IntRange(min = 2, max = 15) int count, @ForAll long seed) {
-        random = new Random(seed);
-        startMembers(count);
-        for (int step = 0; step < 20; step++) {
-            failurePercent = random.nextInt(60);
-            List<Member> view = new ArrayList<>(members);
-            view.removeIf(m -> random.nextInt(4) == 0);
-            members.get(random.nextInt(count)).setMembershipView(view);
-            CrashReport report =
-                    new CrashReport(step, nowMs, nowMs, List.of(1L, step + 2L), (short) 0);
-            members.get(random.nextInt(count)).crashReports.merge(List.of(report));
-            runRound();
-        }
-        failurePercent = 0;
-        Member restarted = new Member(count);
-        members.set(0, restarted);
-        byAddress.put(restarted.info.peerAddress(), restarted);
-        members.forEach(m -> m.setMembershipView(members));
-        for (int i = 0; i < 20; i++) {
-            runRound();
-        }
-        for (Member member : members) {
-            assertThat(member.crashReports.changedSince(0))
-                    .containsExactlyInAnyOrderElementsOf(restarted.crashReports.changedSince(0));
-        }
-        assertThat(restarted.crashReports.changedSince(0)).hasSizeGreaterThan(count > 4 ? 10 : 0);
-    }
-
     @Example
     void inFlightIsDisseminatedForManyEndpointsIfTheLimitIsRaised() {
         maxInFlightEndpoints = 400;
--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/EndpointObservationDisseminationTests.java
@@ -0,0 +1,70 @@
+package io.sapphirestack.runtime.endpoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sapphirestack.core.quarantine.CrashReport;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/**
+ * Guards against crash reports and rate limits that stay with the instances that observed them.
+ * Calls that fail, membership views that differ and restarts cause such faults.
+ */
+class EndpointObservationDisseminationTests extends AbstractDisseminationTests {
+
+    /** Views differ and calls fail while reports are made; an instance restarts without them. */
+    @Property(seed = "2713", tries = 20)
+    void crashReportsReachEveryInstanceAlsoAfterARestart(
+            @ForAll @IntRange(min = 2, max = 15) int count, @ForAll long seed) {
+        random = new Random(seed);
+        startMembers(count);
+        for (int step = 0; step < 20; step++) {
+            failurePercent = random.nextInt(60);
+            List<Member> view = new ArrayList<>(members);
+            view.removeIf(m -> random.nextInt(4) == 0);
+            members.get(random.nextInt(count)).setMembershipView(view);
+            CrashReport report =
+                    new CrashReport(step, nowMs, nowMs, List.of(1L, step + 2L), (short) 0);
+            members.get(random.nextInt(count)).crashReports.merge(List.of(report));
+            runRound();
+        }
+        failurePercent = 0;
+        Member restarted = new Member(count);
+        members.set(0, restarted);
+        byAddress.put(restarted.info.peerAddress(), restarted);
+        members.forEach(m -> m.setMembershipView(members));
+        for (int i = 0; i < 20; i++) {
+            runRound();
+        }
+        for (Member member : members) {
+            assertThat(member.crashReports.changedSince(0))
+                    .containsExactlyInAnyOrderElementsOf(restarted.crashReports.changedSince(0));
+        }
+        assertThat(restarted.crashReports.changedSince(0)).hasSizeGreaterThan(count > 4 ? 10 : 0);
+    }
+
+    /** Guards against limits that only the instances that received them keep. */
+    @Example
+    void lowestRateLimitOfAnEndpointReachesEveryInstanceAndEnds() {
+        startMembers(9);
+        members.get(8).rateLimits = Map.of(1, 5_000, 2, 0);
+        members.get(3).rateLimits = Map.of(1, 4_000);
+        for (int i = 0; i < 10; i++) {
+            runRound();
+        }
+        assertThat(members.get(0).parts.rateLimits().read().of(1)).hasValue(4_000);
+        assertThat(members.get(3).parts.rateLimits().read().of(1)).hasValue(5_000);
+        assertThat(members.get(5).parts.rateLimits().read().of(2)).hasValue(0);
+        members.forEach(member -> member.rateLimits = Map.of());
+        for (int i = 0; i < 10; i++) {
+            runRound();
+        }
+        members.forEach(m -> assertThat(m.parts.rateLimits().read().isEmpty()).isTrue());
+    }
+}
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -2,10 +2,12 @@
 
 import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.core.limit.NamedRateLimits;
+import io.sapphirestack.core.limit.RateLimitTable;
 import io.sapphirestack.core.quarantine.CrashReportTable;
 import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
+import io.sapphirestack.core.relay.EndpointRateLimiter;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.RelayedAccount;
@@ -88,7 +90,12 @@
                                 new PromptQuarantine(
                                         new CrashReportTable(MillisClock.wall()),
                                         MillisClock.wall()),
-                                new NamedRateLimits(clock),
+                                new EndpointRateLimiter(
+                                        new NamedRateLimits(clock),
+                                        () -> RateLimitTable.EMPTY,
+                                        service -> 1,
+                                        () -> 0,
+                                        clock),
                                 ResponseLimits.DEFAULT,
                                 new Metrics(),
                                 clock));
