Bundle the components that the relays share in one record

PlainRelay, StreamRelay and RelayedStream repeated the same five constructor parameters and assignments; each stream made a placement of its own.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -33,18 +33,13 @@
     private final RateLimitObserver rateLimits;
     private final RateLimitedPlacement placement;
 
-    PlainRelay(
-            RelayContext context,
-            UpstreamPool pool,
-            StartupWaiter startupWaiter,
-            PromptGuard promptGuard,
-            RateLimitObserver rateLimits) {
-        this.context = context;
-        this.pool = pool;
-        this.startupWaiter = startupWaiter;
-        this.promptGuard = promptGuard;
-        this.rateLimits = rateLimits;
-        this.placement = new RateLimitedPlacement(context.placement(), context.rateLimiter());
+    PlainRelay(RelayComponents components) {
+        this.context = components.context();
+        this.pool = components.pool();
+        this.startupWaiter = components.startupWaiter();
+        this.promptGuard = components.promptGuard();
+        this.rateLimits = components.rateLimits();
+        this.placement = components.placement();
     }
 
     /** Response to one attempt, and whether it says that the endpoint did not run the request. */
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -0,0 +1,33 @@
+package io.sapphirestack.runtime.relay;
+
+import io.sapphirestack.core.relay.RateLimitedPlacement;
+
+/**
+ * Components that the relays of an instance share. All are thread-safe.
+ *
+ * @param context collaborators that the instance provides
+ * @param pool connections to endpoints
+ * @param startupWaiter lets requests wait while the instance has just started
+ * @param promptGuard keeps quarantined prompts away from endpoints
+ * @param rateLimits reads the rate limits that endpoints name
+ * @param placement chooses the endpoint of each attempt
+ */
+record RelayComponents(
+        RelayContext context,
+        UpstreamPool pool,
+        StartupWaiter startupWaiter,
+        PromptGuard promptGuard,
+        RateLimitObserver rateLimits,
+        RateLimitedPlacement placement) {
+
+    static RelayComponents create(
+            RelayContext context, UpstreamPool pool, StartupWaiter startupWaiter) {
+        return new RelayComponents(
+                context,
+                pool,
+                startupWaiter,
+                new PromptGuard(context.quarantine(), pool),
+                new RateLimitObserver(context.rateLimiter().named()),
+                new RateLimitedPlacement(context.placement(), context.rateLimiter()));
+    }
+}
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -48,19 +48,13 @@
     private long probedAtMs;
     private long callerCheckedAtMs;
 
-    RelayedStream(
-            RelayContext context,
-            UpstreamPool pool,
-            StartupWaiter startupWaiter,
-            PromptGuard promptGuard,
-            RateLimitObserver rateLimits,
-            RelayedRequest request) {
-        this.context = context;
-        this.pool = pool;
-        this.startupWaiter = startupWaiter;
-        this.promptGuard = promptGuard;
-        this.rateLimits = rateLimits;
-        this.placement = new RateLimitedPlacement(context.placement(), context.rateLimiter());
+    RelayedStream(RelayComponents components, RelayedRequest request) {
+        this.context = components.context();
+        this.pool = components.pool();
+        this.startupWaiter = components.startupWaiter();
+        this.promptGuard = components.promptGuard();
+        this.rateLimits = components.rateLimits();
+        this.placement = components.placement();
         this.request = request;
         this.lastEventId =
                 request.exchange()
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamRelay.java
@@ -15,23 +15,10 @@
 
     private static final EventLog LOG = EventLog.of(StreamRelay.class);
 
-    private final RelayContext context;
-    private final UpstreamPool pool;
-    private final StartupWaiter startupWaiter;
-    private final PromptGuard promptGuard;
-    private final RateLimitObserver rateLimits;
+    private final RelayComponents components;
 
-    StreamRelay(
-            RelayContext context,
-            UpstreamPool pool,
-            StartupWaiter startupWaiter,
-            PromptGuard promptGuard,
-            RateLimitObserver rateLimits) {
-        this.context = context;
-        this.pool = pool;
-        this.startupWaiter = startupWaiter;
-        this.promptGuard = promptGuard;
-        this.rateLimits = rateLimits;
+    StreamRelay(RelayComponents components) {
+        this.components = components;
     }
 
     /**
@@ -43,9 +30,8 @@
      *     event
      */
     void relay(RelayedRequest request) throws IOException, CallerDisconnectedException {
-        context.retryBudget().recordRequest(request.service().name());
-        try (RelayedStream stream =
-                new RelayedStream(context, pool, startupWaiter, promptGuard, rateLimits, request)) {
+        components.context().retryBudget().recordRequest(request.service().name());
+        try (RelayedStream stream = new RelayedStream(components, request)) {
             List<EventParser.Event> firstEvents;
             try {
                 firstEvents = stream.nextEvents();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -43,10 +43,10 @@
         this.context = Objects.requireNonNull(context, "context");
         this.pool = new UpstreamPool(context.responseLimits(), context.clock());
         this.startupWaiter = new StartupWaiter(context.clock(), refusing::get);
-        this.promptGuard = new PromptGuard(context.quarantine(), pool);
-        RateLimitObserver rateLimits = new RateLimitObserver(context.rateLimiter().named());
-        this.plainRelay = new PlainRelay(context, pool, startupWaiter, promptGuard, rateLimits);
-        this.streamRelay = new StreamRelay(context, pool, startupWaiter, promptGuard, rateLimits);
+        RelayComponents components = RelayComponents.create(context, pool, startupWaiter);
+        this.promptGuard = components.promptGuard();
+        this.plainRelay = new PlainRelay(components);
+        this.streamRelay = new StreamRelay(components);
     }
 
     /** Refuses all further requests with a response that says that they did not run. */
