Analyse crash reports in one pass over their parts

Each candidate part built the sets of suspects of all reports again: up to 128 reports times their parts for every change of the table.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/CrashAnalysis.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/CrashAnalysis.java
@@ -3,13 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * Finds the prompt parts that explain the crashes of engines. A part explains a crash if a prompt
@@ -45,36 +44,38 @@
     static List<Culprit> findCulprits(Collection<CrashReport> reports) {
         List<CrashReport> unexplained = new ArrayList<>(reports);
         List<Culprit> culprits = new ArrayList<>();
-        for (Optional<Long> part = mostSuspect(unexplained);
-                part.isPresent();
-                part = mostSuspect(unexplained)) {
-            List<CrashReport> explained = reportsOf(part.get(), unexplained);
+        for (List<CrashReport> explained = mostExplained(unexplained);
+                !explained.isEmpty();
+                explained = mostExplained(unexplained)) {
             culprits.add(culpritOf(explained));
-            Set<Integer> crashed = new LinkedHashSet<>();
+            Set<Integer> crashed = new HashSet<>();
             explained.forEach(report -> crashed.add(report.endpointHandle()));
             unexplained.removeIf(report -> crashed.contains(report.endpointHandle()));
         }
         return culprits;
     }
 
-    private static Optional<Long> mostSuspect(List<CrashReport> reports) {
-        Set<Long> suspects = new LinkedHashSet<>();
-        reports.forEach(report -> suspects.addAll(report.suspects()));
-        Map<Long, Integer> episodesByPart = new HashMap<>();
-        suspects.forEach(part -> episodesByPart.put(part, episodes(reportsOf(part, reports))));
-        return episodesByPart.entrySet().stream()
-                .filter(entry -> entry.getValue() >= MIN_EPISODES)
-                .max(
-                        Map.Entry.<Long, Integer>comparingByValue()
-                                .thenComparing(Map.Entry.comparingByKey()))
-                .map(Map.Entry::getKey);
-    }
-
-    private static List<CrashReport> reportsOf(long part, List<CrashReport> reports) {
-        return reports.stream().filter(report -> report.suspects().contains(part)).toList();
+    /** Returns the reports that the most suspect part explains, none if no part has enough. */
+    private static List<CrashReport> mostExplained(List<CrashReport> reports) {
+        Map<Long, List<CrashReport>> byPart = new TreeMap<>();
+        for (CrashReport report : reports) {
+            for (long part : report.suspects()) {
+                byPart.computeIfAbsent(part, key -> new ArrayList<>()).add(report);
+            }
+        }
+        List<CrashReport> most = List.of();
+        int mostEpisodes = MIN_EPISODES - 1;
+        for (List<CrashReport> explained : byPart.values()) {
+            int episodes = explained.size() > mostEpisodes ? episodes(explained) : 0;
+            if (episodes > mostEpisodes) {
+                most = explained;
+                mostEpisodes = episodes;
+            }
+        }
+        return most;
     }
 
-    /** Returns the number of episodes of different processes that crashed. */
+    /** Returns the number of episodes in which different processes crashed. */
     private static int episodes(List<CrashReport> reports) {
         List<CrashReport> byTime = new ArrayList<>(reports);
         byTime.sort(Comparator.comparingLong(CrashReport::observedAtMs));
