Probe an engine again that still accepted a connection after an attempt failed

The listener of a process that ends may outlive its connections by some milliseconds, in the test because a blocked accept holds it.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -45,6 +45,7 @@
     private int connectFailures;
     private long waitStartedAtMs;
     private long attemptStartedAtMs;
+    private Optional<SuspectedCrash> suspectedCrash = Optional.empty();
     private long probedAtMs;
     private long callerCheckedAtMs;
 
@@ -195,6 +196,9 @@
 
     private void checkWait() throws ServiceException {
         checkDeadline();
+        if (suspectedCrash.filter(c -> c.isProbeDue(context.clock().nowMs())).isPresent()) {
+            probeSuspectedCrash();
+        }
         checkQuarantine(attempt.endpoint().address());
         long nowMs = context.clock().nowMs();
         String peer = attempt.endpoint().address();
@@ -337,10 +341,16 @@
             return;
         }
         EndpointId id = attempt.endpoint().id();
-        long attemptMs = context.clock().nowMs() - attemptStartedAtMs;
+        long nowMs = context.clock().nowMs();
+        long attemptMs = nowMs - attemptStartedAtMs;
         boolean reachable =
                 attempt.hasReceivedEvent()
                         || promptGuard.recordFailure(request, attempt.endpoint(), attemptMs);
+        probeSuspectedCrash();
+        if (reachable && !attempt.hasReceivedEvent()) {
+            suspectedCrash =
+                    Optional.of(new SuspectedCrash(attempt.endpoint(), attemptStartedAtMs, nowMs));
+        }
         markFailed(attempt.endpoint());
         LOG.info(
                 "SAP1915",
@@ -373,6 +383,16 @@
         attempt = null;
     }
 
+    private void probeSuspectedCrash() {
+        suspectedCrash.ifPresent(
+                crash ->
+                        promptGuard.recordFailure(
+                                request,
+                                crash.endpoint(),
+                                context.clock().nowMs() - crash.sentAtMs()));
+        suspectedCrash = Optional.empty();
+    }
+
     private void handleRefusal(UpstreamResponseHead head, byte[] body)
             throws StreamFailedException {
         EndpointState endpoint = attempt.endpoint();
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/CrashingPromptTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/CrashingPromptTests.java
@@ -30,6 +30,9 @@
     private final List<ScriptedEndpoint> engines = new ArrayList<>();
     private RelayTestBed testBed;
 
+    /** Time for which the listener of an engine outlives its connections, in milliseconds. */
+    private volatile long listenerDelayMs;
+
     @BeforeEach
     void start() throws Exception {
         for (int i = 0; i < ENGINES; i++) {
@@ -55,13 +58,23 @@
         if (request.headers().getOrDefault("Sapphire-Prompt-Parts", "").contains("deadly")) {
             socket.setSoTimeout(PREFILL_MS);
             readUntilTimeout(socket);
-            engineOf(socket).close();
+            ScriptedEndpoint engine = engineOf(socket);
+            if (listenerDelayMs == 0) {
+                engine.close();
+            } else {
+                testBed.schedule(listenerDelayMs, () -> closed(engine));
+            }
             crashes.incrementAndGet();
             throw new IOException("the engine crashed");
         }
         write(out, event(1) + event(2) + "0\r\n\r\n");
     }
 
+    private static Object closed(ScriptedEndpoint engine) throws IOException {
+        engine.close();
+        return engine;
+    }
+
     private static void readUntilTimeout(Socket socket) throws IOException {
         try {
             socket.getInputStream().read();
@@ -105,6 +118,14 @@
         assertThat(stream(22, "first:200,own:800")).startsWith("HTTP/1.1 200").contains("e2");
     }
 
+    @Test
+    void engineWhoseListenerOutlivesItsConnectionsCountsAsCrashed() throws Exception {
+        listenerDelayMs = 100;
+        stream(1, "deadly:300,own:800");
+        assertThat(stream(2, "deadly:300,own:900")).startsWith("HTTP/1.1 503");
+        assertThat(crashes.get()).isLessThan(5);
+    }
+
     @Test
     void requestThatCrashedEnginesItselfIsNotAnsweredAsNotRun() throws Exception {
         assertThat(stream(1, "deadly:300,own:800")).startsWith("HTTP/1.1 502");
