Scripted endpoints of tests refuse connections when they are closed

A process that crashes closes its listener at once, so the scripted endpoint did not play a crash. It now waits for the accept thread. No check changes.

--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/ScriptedEndpoint.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/ScriptedEndpoint.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -22,6 +23,7 @@
 final class ScriptedEndpoint implements AutoCloseable {
 
     private final ServerSocket server;
+    private final Thread acceptThread;
     private final String id;
     private final String availabilityZone;
     private final Script script;
@@ -42,7 +44,7 @@
         this.availabilityZone = availabilityZone;
         this.script = script;
         this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        start(this::accept);
+        this.acceptThread = start(this::accept);
     }
 
     /** Creates an endpoint that sends the same bytes in response to each request. */
@@ -60,10 +62,11 @@
         return new ScriptedEndpoint(id, "z1", null);
     }
 
-    private static void start(Runnable task) {
+    private static Thread start(Runnable task) {
         Thread thread = new Thread(task, "scripted-endpoint");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     EndpointState state() {
@@ -162,11 +165,23 @@
         return Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
     }
 
+    /** Closes the listener; it refuses connections when this method returns. */
     @Override
     public void close() throws IOException {
         server.close();
+        awaitAcceptEnd();
         for (Socket socket : accepted) {
             socket.close();
         }
     }
+
+    /** A blocked accept keeps the listener open until its thread has run again. */
+    private void awaitAcceptEnd() throws IOException {
+        try {
+            acceptThread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted while the listener was closed");
+        }
+    }
 }
