Log the fingerprint of failed requests and whether their endpoint was reachable

SAP1910 did not tell whether the crashes of a service have a request in common, nor whether the endpoint had crashed at all. RequestFingerprint identifies requests with the same service, account, method, target and body. An endpoint is now probed after each failed attempt that was sent, also without shared prompt parts.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -105,21 +105,29 @@
             return handleResult(request, result, history);
         } catch (UpstreamException e) {
             context.health().recordUnreachable(endpoint.id());
+            long attemptMs = context.clock().nowMs() - startedAtMs;
+            boolean reachable =
+                    e.mayHaveRun() && promptGuard.recordFailure(request, endpoint, attemptMs);
             LOG.info(
                     "SAP1910",
                     "An attempt failed without a complete response",
                     "request",
                     request.id(),
+                    "fingerprint",
+                    request.fingerprint(),
                     "endpoint",
                     endpoint.id(),
+                    "attemptMs",
+                    attemptMs,
                     "sent",
                     e.mayHaveRun(),
+                    "reachable",
+                    reachable,
                     "cause",
                     e.getMessage());
             if (!e.mayHaveRun()) {
                 return handleConnectFailure(history);
             }
-            promptGuard.recordFailure(request, endpoint, context.clock().nowMs() - startedAtMs);
             return handleAttemptFailure(request, history);
         } catch (RelayTimeoutException e) {
             return Optional.of(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PromptGuard.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PromptGuard.java
@@ -67,9 +67,6 @@
      * @return whether the endpoint accepted a connection
      */
     boolean recordFailure(RelayedRequest request, EndpointState endpoint, long waitedMs) {
-        if (request.promptParts().shared().isEmpty()) {
-            return true;
-        }
         boolean reachable = pool.probe(endpoint);
         if (!reachable) {
             quarantine.recordCrash(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.quarantine.PromptParts;
+import io.sapphirestack.core.quarantine.RequestFingerprint;
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.TrafficRoute;
 import io.sapphirestack.core.routing.EndpointState;
@@ -17,6 +18,7 @@
  * @param route route that matched
  * @param service service that the request is sent to
  * @param promptParts shared parts of its prompt
+ * @param fingerprint identifies requests of the same content
  * @param account client account of the caller, empty if no key is required and the caller sent none
  *     or an unknown one
  * @param deadlineAtMs deadline on the monotonic clock, in milliseconds: the earlier of those of the
@@ -29,6 +31,7 @@
         TrafficRoute route,
         RelayedService service,
         PromptParts promptParts,
+        RequestFingerprint fingerprint,
         Optional<String> account,
         long deadlineAtMs,
         RelayHeaders headers) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -369,6 +369,8 @@
                 attempt.hasReceivedEvent(),
                 "reachable",
                 reachable,
+                "fingerprint",
+                request.fingerprint(),
                 "promptParts",
                 request.promptParts().shared(),
                 "cause",
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.quarantine.PromptParts;
+import io.sapphirestack.core.quarantine.RequestFingerprint;
 import io.sapphirestack.core.relay.RelayedAccount;
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.TrafficPlan;
@@ -162,6 +163,12 @@
                 exchange.header(headers.promptParts())
                         .map(PromptParts::parse)
                         .orElse(PromptParts.NONE),
+                RequestFingerprint.of(
+                        service.name(),
+                        account.map(RelayedAccount::name).orElse(""),
+                        exchange.method(),
+                        exchange.target(),
+                        exchange.body()),
                 account.map(RelayedAccount::name),
                 exchange.receivedAtMs()
                         + Math.min(callerTimeoutMs.orElse(route.timeoutMs()), route.timeoutMs()),
