Refuse reads, orders and generations that crash endpoints at the project's own interface

The same cause as in the relay: a read was tried at up to four endpoints, a generation at one engine after the other without end, and an order came again under a new idempotency key; nothing remembered their crashes. RequestCrashMonitor tests whether an endpoint crashed under a request and asks the quarantine; the relay uses it as well. An attempt whose connection was refused is no crash: GenerationServiceTests found a sound generation that was ended because of two engines that had been down before.

An accepted generation that crashes engines ends as FAILED with an error event, so that nobody takes its output for complete.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -37,6 +37,7 @@
 import io.sapphirestack.runtime.endpoint.EngineOrderLease;
 import io.sapphirestack.runtime.endpoint.HttpEngineOrderClient;
 import io.sapphirestack.runtime.endpoint.ModelController;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
 import io.sapphirestack.runtime.error.ServiceException;
 import io.sapphirestack.runtime.generation.DefaultGenerationService;
 import io.sapphirestack.runtime.generation.GenerationContext;
@@ -85,8 +86,7 @@
     private final BurnRecorder burnRecorder = new BurnRecorder(MillisClock.wall());
     private final SecureRandom random = new SecureRandom();
     private final CrashEvidence crashEvidence = CrashEvidence.empty(MillisClock.wall());
-    private final RequestQuarantine requestQuarantine =
-            new RequestQuarantine(crashEvidence.histories(), MillisClock.wall(), random.nextLong());
+    private final RequestCrashMonitor crashes;
     private final ScheduledThreadPoolExecutor scheduler;
     private final ThreadPoolExecutor attemptThreads;
     private final ThreadPoolExecutor engineOrderThreads;
@@ -147,6 +147,11 @@
         this.accountLimiter =
                 new AccountLimiter(
                         disseminationParts.usage()::read, this::liveInstanceCount, clock);
+        this.crashes =
+                RequestCrashMonitor.create(
+                        new RequestQuarantine(
+                                crashEvidence.histories(), MillisClock.wall(), random.nextLong()),
+                        clock);
         this.dissemination = createDissemination();
         this.generations = createGenerationService();
         this.modelController = localVoter.service().map(this::createModelController);
@@ -158,6 +163,7 @@
                         catalog,
                         routing,
                         dispatchGuard,
+                        crashes,
                         scheduler,
                         clock);
         metrics.registerGauge(
@@ -239,6 +245,7 @@
                         this::admitGeneration,
                         this::reportUnreachablePeer,
                         new GenerationMetricsRecorder(metrics, burnRecorder, catalog),
+                        crashes,
                         clock);
         DefaultGenerationService service =
                 new DefaultGenerationService(
@@ -404,5 +411,6 @@
         attemptThreads.shutdownNow();
         engineOrderThreads.shutdownNow();
         orderAndReadServices.close();
+        crashes.close();
     }
 }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/OrderAndReadServices.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/OrderAndReadServices.java
@@ -7,6 +7,7 @@
 import io.sapphirestack.runtime.blackboard.Blackboard;
 import io.sapphirestack.runtime.concurrent.WorkerPools;
 import io.sapphirestack.runtime.control.ControlClient;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
 import io.sapphirestack.runtime.order.DefaultOrderService;
 import io.sapphirestack.runtime.order.DefaultReadService;
 import io.sapphirestack.runtime.order.HttpPlainConnector;
@@ -36,6 +37,7 @@
             RecordCatalog catalog,
             RoutingStrategy routing,
             DispatchGuard guard,
+            RequestCrashMonitor crashes,
             ScheduledExecutorService scheduler,
             MillisClock clock) {
         this.orderThreads = WorkerPools.createRejecting("order", limits.orders());
@@ -55,6 +57,7 @@
                                 (task, delayMs) ->
                                         scheduler.schedule(task, delayMs, TimeUnit.MILLISECONDS),
                                 waitStrategy,
+                                crashes,
                                 clock,
                                 () -> UUID.randomUUID().toString()));
         this.reads =
@@ -64,6 +67,7 @@
                         guard,
                         connector,
                         createRetryBudget(),
+                        crashes,
                         readThreads,
                         waitStrategy,
                         clock);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CrashProber.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/CrashProber.java
@@ -1,4 +1,4 @@
-package io.sapphirestack.runtime.relay;
+package io.sapphirestack.runtime.endpoint;
 
 import io.sapphirestack.core.quarantine.RequestFingerprint;
 import io.sapphirestack.core.time.MillisClock;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/SuspectedCrash.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SuspectedCrash.java
@@ -1,4 +1,4 @@
-package io.sapphirestack.runtime.relay;
+package io.sapphirestack.runtime.endpoint;
 
 import io.sapphirestack.core.quarantine.PromptParts;
 import io.sapphirestack.core.quarantine.RequestFingerprint;
@@ -8,15 +8,13 @@
  * Attempt that failed without an answer at an endpoint that may have crashed.
  *
  * @param request fingerprint of the request
- * @param service name of the service that the request was sent to
  * @param promptParts shared parts of its prompt
  * @param endpoint endpoint of the attempt
  * @param sentAtMs time at which the request was sent, on the monotonic clock, in milliseconds
  * @param failedAtMs time of the failure, on the monotonic clock, in milliseconds
  */
-record SuspectedCrash(
+public record SuspectedCrash(
         RequestFingerprint request,
-        String service,
         PromptParts promptParts,
         EndpointState endpoint,
         long sentAtMs,
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/AttemptRunner.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/AttemptRunner.java
@@ -28,18 +28,6 @@
  */
 final class AttemptRunner implements Runnable {
 
-    /** Callbacks to the owner of the generation. Thread-safe. */
-    interface Callbacks {
-        /** Called after a token was stored or the output ended. */
-        void onStored(LocalGeneration generation);
-
-        /** Starts a second runner whose attempt competes with a suspected one. */
-        void startSpeculative(LocalGeneration generation, long epoch, Set<EndpointId> excluded);
-
-        /** Cancels an attempt on its engine on another thread; failures are ignored. */
-        void cancel(LocalGeneration generation, AttemptRecord attempt);
-    }
-
     /** Result of an attempt. */
     private enum Outcome {
         /** The output has ended. */
@@ -63,9 +51,10 @@
     private final EngineClient engineClient;
     private final LocalGeneration generation;
     private final long epoch;
-    private final Callbacks callbacks;
+    private final AttemptCallbacks callbacks;
     private final ResumeSpec resume;
     private final Set<EndpointId> excluded = new HashSet<>();
+    private final UnansweredAttempt unanswered;
     private AttemptReason reason;
     private int searchesWithoutProgress;
 
@@ -74,7 +63,7 @@
             EngineClient engineClient,
             LocalGeneration generation,
             long epoch,
-            Callbacks callbacks,
+            AttemptCallbacks callbacks,
             AttemptReason reason,
             Set<EndpointId> excluded) {
         this.context = context;
@@ -83,6 +72,8 @@
         this.epoch = epoch;
         this.callbacks = callbacks;
         this.resume = context.catalog().resumeSpec(generation.spec().service());
+        this.unanswered =
+                new UnansweredAttempt(context.crashes(), generation.spec(), context.clock());
         this.reason = reason;
         this.excluded.addAll(excluded);
     }
@@ -111,6 +102,10 @@
             }
         }
         while (generation.needsAttempt(epoch)) {
+            if (unanswered.isQuarantined()) {
+                callbacks.fail(generation);
+                return;
+            }
             Optional<Placement> placement = awaitPlacement();
             if (placement.isEmpty()) {
                 return;
@@ -221,6 +216,7 @@
         }
         AttemptRecord attempt = newAttempt.get();
         excluded.add(endpoint.id());
+        unanswered.begin(endpoint);
         context.metrics().recordAttempt(reason);
         GenerationEvents.attemptStarted(
                 generation.id(), attempt.attempt(), attempt.endpoint(), reason.name());
@@ -320,6 +316,7 @@
                 Optional<OfferResult> offerResult;
                 if (event instanceof EngineStream.Token token) {
                     monitor.onToken(lastDataMs);
+                    unanswered.recordToken();
                     offerResult = generation.offer(epoch, number, token.offset(), token.text());
                     nextOffset = token.offset() + 1;
                 } else if (event instanceof EngineStream.End end) {
@@ -465,6 +462,7 @@
 
     private Outcome onFailure(
             AttemptRecord attempt, ServiceException cause, AttemptReason nextReason) {
+        unanswered.recordFailure(cause);
         if (!generation.needsAttempt(epoch)) {
             return Outcome.SUPERSEDED;
         }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/GenerationAcceptor.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/GenerationAcceptor.java
@@ -24,6 +24,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -100,6 +101,7 @@
             if (existing.isPresent()) {
                 return existing.get();
             }
+            requireNotQuarantined(spec);
             requireEndpoint(model);
             GenerationAdmission.Permit permit = context.admission().admit(spec.account(), false);
             createCopies(spec, self, view, permit);
@@ -126,6 +128,22 @@
         return self.get();
     }
 
+    private void requireNotQuarantined(GenerationSpec spec) throws RefusedException {
+        OptionalLong remainingMs =
+                context.crashes().remainingMs(UnansweredAttempt.fingerprintOf(spec));
+        if (remainingMs.isPresent()) {
+            throw new RefusedException(
+                    new Refusal(
+                            503,
+                            "request_quarantined",
+                            "The request crashes the engines that run it; it is not sent for now.",
+                            "accept",
+                            "local",
+                            ExecutionState.NO,
+                            remainingMs.getAsLong()));
+        }
+    }
+
     private void requireEndpoint(ModelSpec model) throws RefusedException {
         boolean known =
                 context.blackboard().endpoints().read().ofService(model.service()).stream()
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/GenerationContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/GenerationContext.java
@@ -5,6 +5,7 @@
 import io.sapphirestack.core.routing.RoutingStrategy;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.blackboard.Blackboard;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
 import io.sapphirestack.runtime.transport.PeerTransport;
 import java.util.Objects;
 
@@ -19,6 +20,7 @@
  * @param admission limits the running generations of each client account
  * @param peerFailureReporter receives reports about peers that do not acknowledge appends
  * @param metrics metrics of generations
+ * @param crashes tells which requests crash engines
  * @param clock monotonic clock in milliseconds
  */
 public record GenerationContext(
@@ -30,6 +32,7 @@
         GenerationAdmission admission,
         PeerFailureReporter peerFailureReporter,
         GenerationMetrics metrics,
+        RequestCrashMonitor crashes,
         MillisClock clock) {
 
     /** Checks that no component is {@code null}. */
@@ -42,6 +45,7 @@
         Objects.requireNonNull(admission, "admission");
         Objects.requireNonNull(peerFailureReporter, "peerFailureReporter");
         Objects.requireNonNull(metrics, "metrics");
+        Objects.requireNonNull(crashes, "crashes");
         Objects.requireNonNull(clock, "clock");
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/GenerationEvents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/GenerationEvents.java
@@ -49,6 +49,10 @@
                 attempt, id, endpoint, offset);
     }
 
+    static void quarantined(GenerationId id) {
+        LOG.warnf("SAP2031 generation %s ends, because its request crashes engines", id);
+    }
+
     static void noTokens(GenerationId id, int attempt, String endpoint) {
         LOG.infof(
                 "SAP2013 attempt %d of generation %s on endpoint %s sends keep-alives but no tokens",
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/GenerationPhase.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/GenerationPhase.java
@@ -7,5 +7,7 @@
     /** The output is complete and all its tokens are committed. */
     DONE,
     /** The client account cancelled the generation. */
-    CANCELLED
+    CANCELLED,
+    /** The output is incomplete and was ended, because the request crashes engines. */
+    FAILED
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/LocalGeneration.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/LocalGeneration.java
@@ -34,6 +34,9 @@
     /** Finish reason of a cancelled generation. */
     static final String CANCELLED = "cancelled";
 
+    /** Finish reason of a generation that was ended because it crashes engines. */
+    static final String FAILED = "failed";
+
     /** Maximum size of the tokens in one batch to a reader, in bytes. */
     private static final int MAX_BATCH_BYTES = 256 * 1_024;
 
@@ -451,8 +454,10 @@
         if (!log.complete()) {
             return GenerationPhase.RUNNING;
         }
-        return log.finishReason().equals(CANCELLED)
-                ? GenerationPhase.CANCELLED
-                : GenerationPhase.DONE;
+        return switch (log.finishReason()) {
+            case CANCELLED -> GenerationPhase.CANCELLED;
+            case FAILED -> GenerationPhase.FAILED;
+            default -> GenerationPhase.DONE;
+        };
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/OwnershipController.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/OwnershipController.java
@@ -24,7 +24,7 @@
  * Performs the tasks of the owner of a generation: runs attempts, keeps the replicas complete and
  * notifies readers. Thread-safe.
  */
-final class OwnershipController implements AttemptRunner.Callbacks, GenerationReplicator.Listener {
+final class OwnershipController implements AttemptCallbacks, GenerationReplicator.Listener {
 
     /** Number of copies of a generation, including that of the owner. */
     static final int TARGET_COPIES = 3;
@@ -88,10 +88,20 @@
 
     /** Ends a generation that its account cancels; returns whether this instance is the owner. */
     boolean cancel(LocalGeneration generation) {
+        return end(generation, LocalGeneration.CANCELLED);
+    }
+
+    @Override
+    public void fail(LocalGeneration generation) {
+        GenerationEvents.quarantined(generation.id());
+        end(generation, LocalGeneration.FAILED);
+    }
+
+    private boolean end(LocalGeneration generation, String reason) {
         Optional<AttemptRecord> attempt =
                 generation.withOwner(
                         owner -> {
-                            owner.end(LocalGeneration.CANCELLED);
+                            owner.end(reason);
                             return owner.attempt();
                         });
         if (attempt.isEmpty()) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/EventStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/EventStream.java
@@ -51,6 +51,7 @@
                     lastWriteMs = delivery.clock().nowMs();
                 }
                 if (batch.isPresent() && batch.get().complete()) {
+                    requireNotFailed(batch.get());
                     writeEnd(out, batch.get());
                     return;
                 }
@@ -117,6 +118,25 @@
                 0);
     }
 
+    /**
+     * Checks that an output that has ended is complete.
+     *
+     * @throws RefusedException if the generation was ended because it crashes engines
+     */
+    static void requireNotFailed(TokenBatch last) throws RefusedException {
+        if (last.phase() == GenerationPhase.FAILED) {
+            throw new RefusedException(
+                    new Refusal(
+                            502,
+                            "generation_failed",
+                            "The output was ended, because the request crashes engines.",
+                            "generate",
+                            "engine",
+                            ExecutionState.UNKNOWN,
+                            0));
+        }
+    }
+
     static String finishReason(TokenBatch batch) {
         if (!batch.finishReason().isEmpty()) {
             return batch.finishReason();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/JsonCompletion.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/JsonCompletion.java
@@ -48,6 +48,9 @@
             delivery.latencyRecorder().recordTokens(batch.get().tokens().size());
             batch.get().tokens().forEach(text::append);
         }
+        if (batch.isPresent() && batch.get().complete()) {
+            EventStream.requireNotFailed(batch.get());
+        }
         return batch;
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/DefaultOrderService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/DefaultOrderService.java
@@ -81,6 +81,7 @@
                         Objects.requireNonNull(connector, "connector"),
                         committer,
                         outcomeQuery,
+                        runtime.crashes(),
                         clock);
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/DefaultReadService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/DefaultReadService.java
@@ -4,6 +4,8 @@
 import io.sapphirestack.core.error.RefusedException;
 import io.sapphirestack.core.id.AccountId;
 import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.quarantine.PromptParts;
+import io.sapphirestack.core.quarantine.RequestFingerprint;
 import io.sapphirestack.core.record.ServiceSpec;
 import io.sapphirestack.core.record.ServiceType;
 import io.sapphirestack.core.routing.DispatchGuard;
@@ -15,10 +17,12 @@
 import io.sapphirestack.core.routing.WorkKind;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.endpoint.EndpointException;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -42,6 +46,7 @@
     private final DispatchGuard guard;
     private final PlainConnector connector;
     private final ReadRetryBudget retryBudget;
+    private final RequestCrashMonitor crashes;
     private final Executor executor;
     private final WaitStrategy waitStrategy;
     private final MillisClock clock;
@@ -55,6 +60,7 @@
      * @param guard final check before the first byte is sent
      * @param connector opens connections to endpoints
      * @param retryBudget limits retries
+     * @param crashes tells which reads crash endpoints
      * @param executor bounded executor used by reads only
      * @param waitStrategy blocks the calling thread until the response arrives
      * @param clock monotonic clock
@@ -65,6 +71,7 @@
             DispatchGuard guard,
             PlainConnector connector,
             ReadRetryBudget retryBudget,
+            RequestCrashMonitor crashes,
             Executor executor,
             WaitStrategy waitStrategy,
             MillisClock clock) {
@@ -73,6 +80,7 @@
         this.guard = Objects.requireNonNull(guard, "guard");
         this.connector = Objects.requireNonNull(connector, "connector");
         this.retryBudget = Objects.requireNonNull(retryBudget, "retryBudget");
+        this.crashes = Objects.requireNonNull(crashes, "crashes");
         this.executor = Objects.requireNonNull(executor, "executor");
         this.waitStrategy = Objects.requireNonNull(waitStrategy, "waitStrategy");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -131,6 +139,7 @@
         private final String path;
         private final long deadlineMs;
         private final ServiceSpec spec;
+        private final RequestFingerprint fingerprint;
         private final Set<EndpointId> excluded = new HashSet<>();
         private ExecutionState executed = ExecutionState.NO;
 
@@ -145,6 +154,8 @@
             this.path = "/read/" + pathAndQuery;
             this.deadlineMs = deadlineMs;
             this.spec = spec;
+            this.fingerprint =
+                    RequestFingerprint.of(service, account.value(), "GET", path, new byte[0]);
         }
 
         ServiceResponse execute() throws RefusedException {
@@ -153,6 +164,10 @@
                 if (i > 0 && !retryBudget.tryRetry(service)) {
                     throw lastFailure;
                 }
+                OptionalLong quarantinedMs = crashes.remainingMs(fingerprint);
+                if (quarantinedMs.isPresent()) {
+                    throw OrderRefusals.quarantined(executed, quarantinedMs.getAsLong());
+                }
                 Optional<EndpointState> endpoint = routing.choose(request());
                 if (endpoint.isEmpty()) {
                     throw lastFailure;
@@ -184,16 +199,20 @@
          */
         private Optional<ServiceResponse> attemptAt(EndpointState endpoint)
                 throws RefusedException {
+            long startedAtMs = clock.nowMs();
+            boolean maybeSent = false;
             Optional<PlainConnection> reused = idleConnections.take(endpoint.address());
             if (reused.isPresent()) {
                 try {
                     return sendIfPermitted(reused.get(), endpoint);
                 } catch (EndpointException e) {
+                    maybeSent = e.maybeSent();
                     reused.get().close();
                     idleConnections.closeAll(endpoint.address());
                     // That the endpoint has closed an idle connection is normal and costs nothing.
                     // A timeout has cost time, so that a new connection counts as a retry.
                     if (e.timedOut() && !retryBudget.tryRetry(service)) {
+                        crashes.recordTimeout(fingerprint, PromptParts.NONE, endpoint, startedAtMs);
                         return Optional.empty();
                     }
                 }
@@ -214,6 +233,9 @@
                 if (connection != null) {
                     connection.close();
                 }
+                if (maybeSent || e.maybeSent()) {
+                    crashes.recordFailure(fingerprint, PromptParts.NONE, endpoint, startedAtMs);
+                }
                 return Optional.empty();
             }
         }
@@ -249,14 +271,16 @@
             } else {
                 connection.close();
             }
-            return response.notExecuted()
-                    ? Optional.empty()
-                    : Optional.of(
-                            new ServiceResponse(
-                                    response.status(),
-                                    response.contentType(),
-                                    response.body(),
-                                    endpoint.id().value()));
+            if (response.notExecuted()) {
+                return Optional.empty();
+            }
+            crashes.recordAnswer(fingerprint);
+            return Optional.of(
+                    new ServiceResponse(
+                            response.status(),
+                            response.contentType(),
+                            response.body(),
+                            endpoint.id().value()));
         }
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/OrderDispatch.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/OrderDispatch.java
@@ -4,6 +4,8 @@
 import io.sapphirestack.core.error.ExecutionState;
 import io.sapphirestack.core.error.RefusedException;
 import io.sapphirestack.core.id.EndpointId;
+import io.sapphirestack.core.quarantine.PromptParts;
+import io.sapphirestack.core.quarantine.RequestFingerprint;
 import io.sapphirestack.core.record.ServiceSpec;
 import io.sapphirestack.core.routing.DispatchGuard;
 import io.sapphirestack.core.routing.DispatchPermit;
@@ -14,8 +16,10 @@
 import io.sapphirestack.core.routing.WorkKind;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.endpoint.EndpointException;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
@@ -44,6 +48,8 @@
     private final PlainConnector connector;
     private final OrderCommitter committer;
     private final OrderOutcomeQuery outcomeQuery;
+    private final RequestCrashMonitor crashes;
+    private final RequestFingerprint fingerprint;
     private final MillisClock clock;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.PREPARING);
     private final CompletableFuture<ServiceResponse> responseFuture = new CompletableFuture<>();
@@ -57,7 +63,16 @@
         this.connector = dependencies.connector();
         this.committer = dependencies.committer();
         this.outcomeQuery = dependencies.outcomeQuery();
+        this.crashes = dependencies.crashes();
         this.clock = dependencies.clock();
+        // The idempotency key is left out: an order that comes again may carry a new one.
+        this.fingerprint =
+                RequestFingerprint.of(
+                        request.key().service(),
+                        request.key().account().value(),
+                        "POST",
+                        "",
+                        request.body());
     }
 
     /**
@@ -106,6 +121,10 @@
     }
 
     private void dispatch() throws RefusedException {
+        OptionalLong quarantinedMs = crashes.remainingMs(fingerprint);
+        if (quarantinedMs.isPresent()) {
+            throw OrderRefusals.quarantined(ExecutionState.NO, quarantinedMs.getAsLong());
+        }
         Set<EndpointId> excluded = new HashSet<>();
         for (int i = 0; i < MAX_ATTEMPTS; i++) {
             EndpointState endpoint =
@@ -133,7 +152,8 @@
      * and another endpoint may be called; otherwise the dispatch is finished.
      */
     private boolean attemptAt(EndpointState endpoint) throws RefusedException {
-        long remainingMs = request.deadlineMs() - clock.nowMs();
+        long startedAtMs = clock.nowMs();
+        long remainingMs = request.deadlineMs() - startedAtMs;
         if (remainingMs <= 0 || phase.get() == Phase.ABANDONED) {
             throw OrderRefusals.deadlineExceeded("connect", endpoint.address(), ExecutionState.NO);
         }
@@ -149,6 +169,11 @@
                 phase.compareAndSet(Phase.WRITING, Phase.PREPARING);
                 return false;
             }
+            if (e.timedOut()) {
+                crashes.recordTimeout(fingerprint, PromptParts.NONE, endpoint, startedAtMs);
+            } else {
+                crashes.recordFailure(fingerprint, PromptParts.NONE, endpoint, startedAtMs);
+            }
             return handleMissingResponse(endpoint, e);
         }
     }
@@ -181,6 +206,7 @@
                 return false;
             }
             phase.set(Phase.RESPONDED);
+            crashes.recordAnswer(fingerprint);
             commitOutcome(response, endpoint.id().value());
             return true;
         } finally {
@@ -253,6 +279,7 @@
      * @param connector opens connections to endpoints
      * @param committer commits releases and outcomes to the control log
      * @param outcomeQuery queries endpoints for outcomes
+     * @param crashes tells which orders crash endpoints
      * @param clock monotonic clock
      */
     record Dependencies(
@@ -261,5 +288,6 @@
             PlainConnector connector,
             OrderCommitter committer,
             OrderOutcomeQuery outcomeQuery,
+            RequestCrashMonitor crashes,
             MillisClock clock) {}
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/OrderRefusals.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/OrderRefusals.java
@@ -54,6 +54,18 @@
                         1_000));
     }
 
+    static RefusedException quarantined(ExecutionState executed, long remainingMs) {
+        return new RefusedException(
+                new Refusal(
+                        503,
+                        "request_quarantined",
+                        "The request crashes the endpoints that run it; it is not sent for now.",
+                        "dispatch",
+                        "local",
+                        executed,
+                        remainingMs));
+    }
+
     static RefusedException controlUnavailable(ExecutionState executed) {
         return new RefusedException(
                 new Refusal(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CrashGuard.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CrashGuard.java
@@ -1,15 +1,16 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.quarantine.PromptQuarantine;
-import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
+import io.sapphirestack.runtime.endpoint.SuspectedCrash;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
- * Reports the outcomes of attempts to the {@link RequestQuarantine} and the {@link
+ * Reports the outcomes of attempts to the {@link RequestCrashMonitor} and the {@link
  * PromptQuarantine}, and refuses the requests that one of them names. Thread-safe.
  */
 final class CrashGuard implements AutoCloseable {
@@ -21,20 +22,28 @@
     private static final String PROMPT_REASON =
             "a part of the prompt crashes the engines that answer it";
 
-    private final RequestQuarantine requests;
+    private final RequestCrashMonitor requests;
     private final PromptQuarantine prompts;
-    private final UpstreamPool pool;
     private final MillisClock clock;
-    private final CrashProber prober;
     private int loggedPrompts;
     private int loggedRequests;
 
     CrashGuard(RelayContext context, UpstreamPool pool) {
-        this.requests = context.requestQuarantine();
         this.prompts = context.quarantine();
-        this.pool = pool;
         this.clock = context.clock();
-        this.prober = new CrashProber(this::isReachable, clock);
+        this.requests =
+                new RequestCrashMonitor(
+                        context.requestQuarantine(), pool::probe, this::recordPromptCrash, clock);
+    }
+
+    private void recordPromptCrash(SuspectedCrash crash) {
+        prompts.recordCrash(
+                crash.endpoint().id(),
+                crash.endpoint().epochMs(),
+                crash.endpoint().service(),
+                crash.promptParts(),
+                crash.request(),
+                clock.nowMs() - crash.sentAtMs());
     }
 
     /**
@@ -112,65 +121,27 @@
     }
 
     /**
-     * Records that an attempt failed before the endpoint answered. If the endpoint does not accept
-     * a connection either, it has crashed, and the request may be the cause. An endpoint that still
-     * accepts one is tested again later.
+     * Records that an attempt failed before the endpoint answered.
      *
      * @param request request that was sent
      * @param endpoint endpoint of the attempt
-     * @param waitedMs time since the request was sent, in milliseconds
-     * @return whether the endpoint accepted a connection
+     * @param sentAtMs time at which it was sent, in milliseconds
+     * @return whether the endpoint accepted a connection after the failure
      */
-    boolean recordFailure(RelayedRequest request, EndpointState endpoint, long waitedMs) {
-        prober.testNow(request.fingerprint());
-        SuspectedCrash suspected = suspected(request, endpoint, waitedMs);
-        boolean reachable = isReachable(suspected);
-        if (reachable) {
-            prober.add(suspected);
-        }
-        return reachable;
+    boolean recordFailure(RelayedRequest request, EndpointState endpoint, long sentAtMs) {
+        return requests.recordFailure(
+                request.fingerprint(), request.promptParts(), endpoint, sentAtMs);
     }
 
     /**
-     * Records that an attempt ended without an answer because its deadline had passed. The endpoint
-     * is tested later, because the caller does not wait.
+     * Records that an attempt ended without an answer because its deadline had passed.
      *
      * @param request request that was sent
      * @param endpoint endpoint of the attempt
-     * @param waitedMs time since the request was sent, in milliseconds
+     * @param sentAtMs time at which it was sent, in milliseconds
      */
-    void recordTimeout(RelayedRequest request, EndpointState endpoint, long waitedMs) {
-        prober.add(suspected(request, endpoint, waitedMs));
-    }
-
-    private SuspectedCrash suspected(
-            RelayedRequest request, EndpointState endpoint, long waitedMs) {
-        long nowMs = clock.nowMs();
-        return new SuspectedCrash(
-                request.fingerprint(),
-                request.service().name(),
-                request.promptParts(),
-                endpoint,
-                nowMs - waitedMs,
-                nowMs);
-    }
-
-    /** Tests the endpoint of an attempt, and records its crash if it is not reachable. */
-    private boolean isReachable(SuspectedCrash suspected) {
-        EndpointState endpoint = suspected.endpoint();
-        if (pool.probe(endpoint)) {
-            return true;
-        }
-        long waitedMs = clock.nowMs() - suspected.sentAtMs();
-        requests.recordCrash(endpoint.id(), endpoint.epochMs(), suspected.request(), waitedMs);
-        prompts.recordCrash(
-                endpoint.id(),
-                endpoint.epochMs(),
-                suspected.service(),
-                suspected.promptParts(),
-                suspected.request(),
-                waitedMs);
-        return false;
+    void recordTimeout(RelayedRequest request, EndpointState endpoint, long sentAtMs) {
+        requests.recordTimeout(request.fingerprint(), request.promptParts(), endpoint, sentAtMs);
     }
 
     /** Logs when a quarantine began or ended since the last call. Called by one thread. */
@@ -184,7 +155,7 @@
                     promptCount);
             loggedPrompts = promptCount;
         }
-        int requestCount = requests.size();
+        int requestCount = requests.quarantinedRequests();
         if (requestCount != loggedRequests) {
             logChange(
                     "SAP1936",
@@ -222,6 +193,6 @@
 
     @Override
     public void close() {
-        prober.close();
+        requests.close();
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -107,7 +107,7 @@
             context.health().recordUnreachable(endpoint.id());
             long attemptMs = context.clock().nowMs() - startedAtMs;
             boolean reachable =
-                    e.mayHaveRun() && crashGuard.recordFailure(request, endpoint, attemptMs);
+                    e.mayHaveRun() && crashGuard.recordFailure(request, endpoint, startedAtMs);
             LOG.info(
                     "SAP1910",
                     "An attempt failed without a complete response",
@@ -132,7 +132,7 @@
         } catch (RelayFailedException e) {
             return Optional.of(e.response());
         } catch (RelayTimeoutException e) {
-            crashGuard.recordTimeout(request, endpoint, context.clock().nowMs() - startedAtMs);
+            crashGuard.recordTimeout(request, endpoint, startedAtMs);
             return Optional.of(
                     history.sentCount == 0 && e.step().equals(STEP_CONNECT)
                             ? RelayResponse.notRun(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -349,7 +349,8 @@
         long attemptMs = nowMs - attemptStartedAtMs;
         boolean reachable =
                 attempt.hasReceivedEvent()
-                        || crashGuard.recordFailure(request, attempt.endpoint(), attemptMs);
+                        || crashGuard.recordFailure(
+                                request, attempt.endpoint(), attemptStartedAtMs);
         markFailed(attempt.endpoint());
         LOG.info(
                 "SAP1915",
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/FakeCluster.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/FakeCluster.java
@@ -13,12 +13,16 @@
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.quarantine.CrashHistoryTable;
+import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.record.ModelSpec;
 import io.sapphirestack.core.record.ResumePolicy;
 import io.sapphirestack.core.record.ResumeSpec;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.routing.EndpointTable;
+import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.blackboard.Blackboard;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
 import io.sapphirestack.runtime.transport.PeerHandler;
 import io.sapphirestack.runtime.transport.PeerHandlerRegistry;
 import io.sapphirestack.runtime.transport.PeerMessage;
@@ -52,6 +56,9 @@
 
     static final AccountId ACCOUNT = AccountId.of("acme");
 
+    /** Shared by all instances, as if crashes were disseminated at once. */
+    final CrashHistoryTable histories = new CrashHistoryTable(MillisClock.wall());
+
     /** One instance of the cluster. */
     final class FakeInstance {
         final InstanceRef ref;
@@ -85,6 +92,9 @@
                             (account, accepted) -> () -> {},
                             (peer, unacknowledgedMs) -> reportedPeers.add(peer),
                             metrics,
+                            RequestCrashMonitor.create(
+                                    new RequestQuarantine(histories, MillisClock.wall(), 1),
+                                    clockMs::get),
                             clockMs::get);
             service =
                     new DefaultGenerationService(
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/FakeEngine.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/FakeEngine.java
@@ -33,6 +33,9 @@
 
     static final ModelPin PIN = new ModelPin("base", "", "1");
 
+    /** An engine stops abruptly when it begins to run a prompt with this word. */
+    static final String DEADLY = "deadly";
+
     private static final class Stream {
         final List<String> tokens = new ArrayList<>();
         int attempt;
@@ -168,6 +171,9 @@
         stream.prompt = body.get("prompt").asText();
         body.get("prefix").forEach(token -> stream.tokens.add(token.asText()));
         streams.put(key, stream);
+        if (stream.prompt.contains(DEADLY)) {
+            new Thread(this::close, "crash of " + name).start();
+        }
         stream(stream, stream.tokens.size(), response);
     }
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/GenerationServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/GenerationServiceTests.java
@@ -106,6 +106,22 @@
                 .isEqualTo(offset);
     }
 
+    /** Guards against a generation that crashes one engine after the other. */
+    @Test
+    void generationThatCrashesEnginesFailsAndIsRefusedWhenItComesAgain() throws Exception {
+        try (FakeEngine thirdEngine = new FakeEngine("e3")) {
+            thirdEngine.release(TOKENS);
+            cluster.publishEndpoints(firstEngine, secondEngine, thirdEngine);
+            GenerationId id = accept(FakeEngine.DEADLY);
+            assertThat(read("i2", id, 0, TOKENS)).isEmpty();
+            assertThat(cluster.service("i2").status(id, FakeCluster.ACCOUNT).phase())
+                    .isEqualTo(GenerationPhase.FAILED);
+            assertRefused("request_quarantined", 503, () -> accept(FakeEngine.DEADLY));
+            assertThat(thirdEngine.startedAttempts()).isZero();
+            assertThat(read("i1", accept("p"), 0, TOKENS)).hasSize(TOKENS);
+        }
+    }
+
     /** Guards against recomputing tokens when a stream sends no data but its engine still works. */
     @ParameterizedTest
     @ValueSource(strings = {"LATENCY", "RESOURCE", "SPECULATIVE"})
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/DefaultOrderServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/DefaultOrderServiceTests.java
@@ -14,6 +14,8 @@
 import io.sapphirestack.core.id.OrderKey;
 import io.sapphirestack.runtime.blackboard.Blackboard;
 import io.sapphirestack.runtime.control.ControlClient;
+import io.sapphirestack.runtime.endpoint.EndpointException;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +42,10 @@
     private final List<String> calls = new ArrayList<>();
     private final Blackboard blackboard = Blackboard.create();
     private boolean commitsAreConfirmed = true;
+    private boolean endpointCrashes;
+    private int endpointProcess;
+    private final RequestCrashMonitor crashes =
+            OrderFixtures.crashMonitor(endpoint -> !endpointCrashes);
 
     private DefaultOrderService service(Executor executor) {
         blackboard.self().publish(Optional.of(new InstanceRef(InstanceId.of("i1"), 1)));
@@ -65,7 +71,12 @@
                 blackboard,
                 control,
                 name -> Optional.of(OrderFixtures.SPEC),
-                OrderFixtures.firstOf(List.of(OrderFixtures.endpoint("s1", "h:1"))),
+                request ->
+                        OrderFixtures.firstOf(
+                                        List.of(
+                                                OrderFixtures.endpoint(
+                                                        "s" + (1 + endpointProcess), "h:1")))
+                                .choose(request),
                 (endpoint, kind) -> {
                     calls.add("guard");
                     return () -> calls.add("permit closed");
@@ -75,6 +86,7 @@
                         executor,
                         (task, delayMs) -> {},
                         WaitStrategy.blocking(nowMs::get),
+                        crashes,
                         nowMs::get,
                         () -> "n" + nonces.incrementAndGet()));
     }
@@ -84,8 +96,13 @@
         return new PlainConnection() {
             @Override
             public PlainResponse send(
-                    String method, String path, Map<String, String> headers, byte[] body) {
+                    String method, String path, Map<String, String> headers, byte[] body)
+                    throws EndpointException {
                 calls.add(method + " " + path);
+                if (endpointCrashes) {
+                    endpointProcess++;
+                    throw new EndpointException("receive", "h:1", "reset", true, false, null);
+                }
                 return new PlainResponse(201, "text/plain", new byte[] {1}, false, true);
             }
 
@@ -97,7 +114,11 @@
     }
 
     private OrderRequest request(String body, long timeoutMs) {
-        return new OrderRequest(KEY, "text/plain", body.getBytes(), nowMs.get() + timeoutMs);
+        return request(KEY, body, timeoutMs);
+    }
+
+    private OrderRequest request(OrderKey key, String body, long timeoutMs) {
+        return new OrderRequest(key, "text/plain", body.getBytes(), nowMs.get() + timeoutMs);
     }
 
     @Test
@@ -116,6 +137,32 @@
                         "close");
     }
 
+    private void assertRefused(
+            DefaultOrderService service, String key, String code, ExecutionState executed) {
+        OrderKey orderKey = new OrderKey(KEY.account(), KEY.service(), key);
+        assertThatThrownBy(() -> service.submit(request(orderKey, "deadly", 1_000)))
+                .isInstanceOfSatisfying(
+                        RefusedException.class,
+                        e -> {
+                            assertThat(e.refusal().code()).isEqualTo(code);
+                            assertThat(e.refusal().executed()).isEqualTo(executed);
+                        });
+    }
+
+    /** Guards against an order that crashes one endpoint after the other under new keys. */
+    @Test
+    void orderThatCrashesEndpointsIsRefusedWhenItComesAgain() throws Exception {
+        DefaultOrderService service = service(Runnable::run);
+        endpointCrashes = true;
+        assertRefused(service, "k1", "outcome_unknown", ExecutionState.UNKNOWN);
+        assertRefused(service, "k2", "outcome_unknown", ExecutionState.UNKNOWN);
+        calls.clear();
+        assertRefused(service, "k3", "request_quarantined", ExecutionState.NO);
+        assertThat(calls).containsExactly("ReserveOrder", "ReleaseOrder");
+        endpointCrashes = false;
+        assertThat(service.submit(request("other", 1_000)).status()).isEqualTo(201);
+    }
+
     @Test
     void resentOrderGetsTheStoredResponseAndAnotherBodyIsRefused() throws Exception {
         DefaultOrderService service = service(Runnable::run);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/DefaultReadServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/DefaultReadServiceTests.java
@@ -8,13 +8,16 @@
 import io.sapphirestack.core.id.AccountId;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.runtime.endpoint.EndpointException;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -35,6 +38,9 @@
     private final Map<String, Deque<String>> outcomes = new HashMap<>();
     private final List<String> recordedRequests = new ArrayList<>();
     private final AtomicInteger remainingRetries = new AtomicInteger(10);
+    private final Set<String> crashed = new HashSet<>();
+    private final RequestCrashMonitor crashes =
+            OrderFixtures.crashMonitor(endpoint -> !crashed.contains(endpoint.address()));
     private final DefaultReadService service = service(Runnable::run);
 
     private DefaultReadService service(java.util.concurrent.Executor executor) {
@@ -48,6 +54,7 @@
                 this::open,
                 ReadRetryBudget.of(
                         recordedRequests::add, name -> remainingRetries.getAndDecrement() > 0),
+                crashes,
                 executor,
                 WaitStrategy.blocking(nowMs::get),
                 nowMs::get);
@@ -100,6 +107,32 @@
                 AccountId.of("a"), OrderFixtures.SERVICE, "x?y=1", nowMs.get() + 10_000);
     }
 
+    @Test
+    void readThatCrashesEndpointsIsRefusedWhenItComesAgain() throws Exception {
+        setOutcomes("a1", "closed");
+        setOutcomes("a2", "closed");
+        crashed.addAll(List.of("a1", "a2"));
+        assertThatThrownBy(this::read)
+                .isInstanceOfSatisfying(
+                        RefusedException.class,
+                        e -> {
+                            assertThat(e.refusal().code()).isEqualTo("request_quarantined");
+                            assertThat(e.refusal().executed()).isEqualTo(ExecutionState.UNKNOWN);
+                        });
+        calls.clear();
+        assertThatThrownBy(this::read)
+                .isInstanceOfSatisfying(
+                        RefusedException.class,
+                        e -> {
+                            assertThat(e.refusal().executed()).isEqualTo(ExecutionState.NO);
+                            assertThat(e.refusal().retryAfterMs()).isPositive();
+                        });
+        assertThat(calls).isEmpty();
+        AccountId account = AccountId.of("a");
+        assertThat(service.read(account, OrderFixtures.SERVICE, "other", 20_000).status())
+                .isEqualTo(200);
+    }
+
     @Test
     void idleConnectionIsReused() throws Exception {
         read();
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/OrderFixtures.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/OrderFixtures.java
@@ -2,14 +2,19 @@
 
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.membership.EndpointLoad;
+import io.sapphirestack.core.quarantine.CrashHistoryTable;
+import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.record.ObjectivesSpec;
 import io.sapphirestack.core.record.ResumeSpec;
 import io.sapphirestack.core.record.ServiceSpec;
 import io.sapphirestack.core.record.ServiceType;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.routing.RoutingStrategy;
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** Service specification, endpoints and routing for tests of orders and reads. */
 final class OrderFixtures {
@@ -39,4 +44,14 @@
         return request ->
                 endpoints.stream().filter(e -> !request.excluded().contains(e.id())).findFirst();
     }
+
+    /** Returns a monitor for which endpoints accept connections as the predicate tells. */
+    static RequestCrashMonitor crashMonitor(Predicate<EndpointState> accepts) {
+        MillisClock wallClock = MillisClock.wall();
+        return new RequestCrashMonitor(
+                new RequestQuarantine(new CrashHistoryTable(wallClock), wallClock, 1),
+                accepts,
+                crash -> {},
+                MillisClock.monotonic());
+    }
 }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/OrderSimulation.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/OrderSimulation.java
@@ -282,6 +282,7 @@
                                     (task, delayMs) ->
                                             scheduler.spawn(group, delayed(task, delayMs)),
                                     new SimulatedWaitStrategy(),
+                                    OrderFixtures.crashMonitor(endpoint -> true),
                                     scheduler::nowMs,
                                     () -> "n" + nonces++));
         }
