Reject truncated heads and responses to other requests at the project's own interface

The HTTP library takes a head that ends with its connection for complete, so an order or a read could get an empty success. Requests to plain services carry an identifier; a connection is used again only if the response repeats it. A head has a limit of 64 KiB and must arrive within the read timeout: without these checks the test of a head without end did not end.

GuardedInputStream, TrackedSocket and the message limits move to runtime.connection, because runtime.endpoint uses them as well and must not depend on runtime.http.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/MessageLimit.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/MessageLimit.java
@@ -1,4 +1,4 @@
-package io.sapphirestack.runtime.http;
+package io.sapphirestack.runtime.connection;
 
 /** Limit on a part of a received HTTP message. The names appear in log events. */
 public enum MessageLimit {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/MessageLimitException.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/MessageLimitException.java
@@ -1,4 +1,4 @@
-package io.sapphirestack.runtime.http;
+package io.sapphirestack.runtime.connection;
 
 import java.io.IOException;
 import java.util.Locale;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/TrackedSocket.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/TrackedSocket.java
@@ -1,4 +1,4 @@
-package io.sapphirestack.runtime.http;
+package io.sapphirestack.runtime.connection;
 
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.FilterOutputStream;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
@@ -1,5 +1,7 @@
 package io.sapphirestack.runtime.endpoint;
 
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.connection.TrackedSocket;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -8,6 +10,7 @@
 import java.util.Objects;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -23,13 +26,25 @@
  */
 public final class EndpointConnection implements Closeable {
 
+    /** Maximum size of the head of a response, interim heads included, in bytes. */
+    private static final long MAX_HEAD_BYTES = 65_536;
+
     private final String address;
+    private final TrackedSocket socket;
     private final DefaultBHttpClientConnection connection;
+    private final long readTimeoutMs;
+    private final MillisClock clock = MillisClock.monotonic();
     private final HttpRequestExecutor executor = new HttpRequestExecutor();
 
-    private EndpointConnection(String address, DefaultBHttpClientConnection connection) {
+    private EndpointConnection(
+            String address,
+            TrackedSocket socket,
+            DefaultBHttpClientConnection connection,
+            long readTimeoutMs) {
         this.address = address;
+        this.socket = socket;
         this.connection = connection;
+        this.readTimeoutMs = readTimeoutMs;
     }
 
     /**
@@ -38,7 +53,7 @@
      * @param address {@code host:port}
      * @param connectTimeoutMs connect timeout in milliseconds, positive
      * @param readTimeoutMs read timeout in milliseconds: the maximum time without data while
-     *     receiving, positive
+     *     receiving, and to receive the head of a response, positive
      * @return an open connection
      * @throws EndpointException if the connection could not be established; no byte of a request
      *     was sent
@@ -46,7 +61,7 @@
     public static EndpointConnection open(String address, long connectTimeoutMs, long readTimeoutMs)
             throws EndpointException {
         Objects.requireNonNull(address, "address");
-        Socket socket = new Socket();
+        TrackedSocket socket = new TrackedSocket();
         try {
             int colon = address.lastIndexOf(':');
             InetSocketAddress target =
@@ -59,7 +74,7 @@
                     new DefaultBHttpClientConnection(Http1Config.DEFAULT);
             connection.bind(socket);
             connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMs));
-            return new EndpointConnection(address, connection);
+            return new EndpointConnection(address, socket, connection, readTimeoutMs);
         } catch (IOException | RuntimeException e) {
             closeQuietly(socket);
             throw new EndpointException(
@@ -88,7 +103,13 @@
             setContentHeaders(request, entity);
         }
         try {
-            return executor.execute(request, connection, HttpCoreContext.create());
+            long headDeadlineMs = clock.nowMs() + readTimeoutMs;
+            socket.guardedInput().guardHead(() -> requireBefore(headDeadlineMs), MAX_HEAD_BYTES);
+            ClassicHttpResponse response =
+                    executor.execute(request, connection, HttpCoreContext.create());
+            requireNotTruncated();
+            socket.guardedInput().clearGuard();
+            return response;
         } catch (SocketTimeoutException e) {
             throw new EndpointException("receive", address, "read timed out", true, true, e);
         } catch (IOException | HttpException | RuntimeException e) {
@@ -96,6 +117,24 @@
         }
     }
 
+    private void requireBefore(long deadlineMs) throws SocketTimeoutException {
+        if (clock.nowMs() >= deadlineMs) {
+            throw new SocketTimeoutException("the head of the response did not arrive in time");
+        }
+    }
+
+    /** Rejects a head that the endpoint did not complete, which the HTTP library accepts. */
+    private void requireNotTruncated() throws IOException {
+        if (socket.guardedInput().isEndReached()) {
+            throw new ConnectionClosedException("the response ends within its head");
+        }
+    }
+
+    /** Returns whether the endpoint has sent bytes that belong to no request. */
+    public boolean hasUnreadInput() {
+        return socket.hasUnreadInput();
+    }
+
     // The request executor does not add these headers, and it refuses a body without a length.
     private static void setContentHeaders(ClassicHttpRequest request, HttpEntity entity) {
         if (entity.getContentLength() >= 0) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/BoundedBuffer.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/BoundedBuffer.java
@@ -1,6 +1,8 @@
 package io.sapphirestack.runtime.http;
 
 import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.runtime.connection.MessageLimit;
+import io.sapphirestack.runtime.connection.MessageLimitException;
 import java.util.Arrays;
 import java.util.Objects;
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpConnection.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.http;
 
+import io.sapphirestack.runtime.connection.TrackedSocket;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.IOException;
 import org.apache.hc.core5.http.HttpException;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.http;
 
 import io.sapphirestack.runtime.concurrent.WorkerPools;
+import io.sapphirestack.runtime.connection.TrackedSocket;
 import io.sapphirestack.runtime.error.ServiceException;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.Closeable;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/TrackedServerSocket.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/TrackedServerSocket.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.http;
 
+import io.sapphirestack.runtime.connection.TrackedSocket;
 import io.sapphirestack.runtime.error.ServiceException;
 import java.io.IOException;
 import java.net.InetAddress;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/HttpPlainConnector.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/HttpPlainConnector.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
@@ -14,6 +15,8 @@
 /** Connects to endpoints of plain services over HTTP/1.1. Thread-safe. */
 public final class HttpPlainConnector implements PlainConnector {
 
+    private static final String REQUEST_ID_HEADER = "Sapphire-Request-Id";
+
     // Responses to orders are stored in the control log, whose frames are limited to 8 MiB.
     private static final int MAX_RESPONSE_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -24,7 +27,19 @@
                 EndpointConnection.open(address, connectTimeoutMs, readTimeoutMs));
     }
 
-    private record HttpPlainConnection(EndpointConnection connection) implements PlainConnection {
+    /**
+     * Connection that carries one request at a time. Each request has an identifier, which a
+     * service repeats in its response. Without it, a late copy of an earlier response could not be
+     * told from the response to the current request, so the connection is not used again.
+     */
+    private static final class HttpPlainConnection implements PlainConnection {
+
+        private final EndpointConnection connection;
+        private boolean isReused;
+
+        HttpPlainConnection(EndpointConnection connection) {
+            this.connection = connection;
+        }
 
         @Override
         public PlainResponse send(
@@ -32,11 +47,17 @@
                 throws EndpointException {
             BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
             headers.forEach(request::setHeader);
+            String id = Long.toHexString(ThreadLocalRandom.current().nextLong());
+            request.setHeader(REQUEST_ID_HEADER, id);
             if (body != null) {
                 request.setEntity(new ByteArrayEntity(body, null));
                 request.setHeader("Content-Length", body.length);
             }
+            requireNoUnreadInput();
             ClassicHttpResponse response = connection.exchange(request);
+            String responseId = headerValue(response.getFirstHeader(REQUEST_ID_HEADER));
+            requireOwnResponse(id, responseId);
+            isReused = true;
             try {
                 byte[] responseBody = readBody(response.getEntity());
                 return new PlainResponse(
@@ -46,9 +67,7 @@
                         "not-run"
                                 .equalsIgnoreCase(
                                         headerValue(response.getFirstHeader("Sapphire-Run"))),
-                        !"close"
-                                .equalsIgnoreCase(
-                                        headerValue(response.getFirstHeader("Connection"))));
+                        id.equals(responseId) && !isClosing(response));
             } catch (IOException | RuntimeException e) {
                 throw new EndpointException(
                         "receive",
@@ -60,6 +79,35 @@
             }
         }
 
+        private static boolean isClosing(ClassicHttpResponse response) {
+            return "close".equalsIgnoreCase(headerValue(response.getFirstHeader("Connection")));
+        }
+
+        private void requireNoUnreadInput() throws EndpointException {
+            if (isReused && connection.hasUnreadInput()) {
+                throw new EndpointException(
+                        "send",
+                        connection.address(),
+                        "the endpoint sent more than one response",
+                        false,
+                        false,
+                        null);
+            }
+        }
+
+        private void requireOwnResponse(String id, String responseId) throws EndpointException {
+            boolean isOwn = responseId.isEmpty() ? !isReused : responseId.equals(id);
+            if (!isOwn) {
+                throw new EndpointException(
+                        "receive",
+                        connection.address(),
+                        "the response belongs to another request",
+                        true,
+                        false,
+                        null);
+            }
+        }
+
         private static byte[] readBody(HttpEntity entity) throws IOException {
             if (entity == null) {
                 return new byte[0];
--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
@@ -0,0 +1,185 @@
+package io.sapphirestack.runtime.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.sapphirestack.runtime.endpoint.EndpointException;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against responses of plain services that are taken for complete although they broke off,
+ * that never end, or that belong to an earlier request.
+ */
+@Timeout(30)
+class HttpPlainConnectorTests {
+
+    private static final String RESPONSE =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nwhole";
+    private static final long TIMEOUT_MS = 500;
+
+    private final HttpPlainConnector connector = new HttpPlainConnector();
+    private ServerSocket server;
+    private volatile Script script;
+
+    /** Responds to one request; an exception closes the connection. */
+    @FunctionalInterface
+    private interface Script {
+        void respond(String id, int number, OutputStream out) throws Exception;
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(this::accept, "plain-service");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        server.close();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try (Socket socket = server.accept()) {
+                serve(socket);
+            } catch (Exception e) {
+                // Scripts throw to close the connection.
+                continue;
+            }
+        }
+    }
+
+    private void serve(Socket socket) throws Exception {
+        BufferedReader in =
+                new BufferedReader(
+                        new InputStreamReader(
+                                socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        String id = "";
+        int number = 0;
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (line.startsWith("Sapphire-Request-Id: ")) {
+                id = line.substring(line.indexOf(' ') + 1);
+            }
+            if (line.isEmpty()) {
+                script.respond(id, number++, socket.getOutputStream());
+            }
+        }
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    private PlainConnection open() throws EndpointException {
+        String address = "127.0.0.1:" + server.getLocalPort();
+        return connector.open(address, TIMEOUT_MS, TIMEOUT_MS);
+    }
+
+    private static PlainResponse read(PlainConnection connection) throws EndpointException {
+        return connection.send("GET", "/read/x", Map.of(), null);
+    }
+
+    @Test
+    void responseCutAtAnyByteIsAFailure() throws Exception {
+        for (int cut = 0; cut < RESPONSE.length(); cut++) {
+            String part = RESPONSE.substring(0, cut);
+            script =
+                    (id, number, out) -> {
+                        write(out, part);
+                        throw new IOException("connection closed");
+                    };
+            try (PlainConnection connection = open()) {
+                assertThatThrownBy(() -> read(connection))
+                        .as("cut after %d bytes", cut)
+                        .isInstanceOfSatisfying(
+                                EndpointException.class, e -> assertThat(e.maybeSent()).isTrue());
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 100 Continue\r\n\r\n"})
+    void headWithoutEndEnds(String bytes) throws Exception {
+        script =
+                (id, number, out) -> {
+                    write(out, bytes);
+                    while (true) {
+                        write(out, bytes.endsWith("\n") ? bytes : "x");
+                    }
+                };
+        try (PlainConnection connection = open()) {
+            assertThatThrownBy(() -> read(connection)).isInstanceOf(EndpointException.class);
+        }
+    }
+
+    @Test
+    void headThatTricklesEndsAtTheTimeout() throws Exception {
+        script =
+                (id, number, out) -> {
+                    write(out, "HTTP/1.1 200 OK\r\nX: ");
+                    while (true) {
+                        write(out, "x");
+                        Thread.currentThread().join(50);
+                    }
+                };
+        try (PlainConnection connection = open()) {
+            assertThatThrownBy(() -> read(connection))
+                    .isInstanceOfSatisfying(
+                            EndpointException.class, e -> assertThat(e.timedOut()).isTrue());
+        }
+    }
+
+    @Test
+    void lateSecondCopyDoesNotAnswerTheNextRequest() throws Exception {
+        script =
+                (id, number, out) -> {
+                    String response = identified(id);
+                    write(out, response);
+                    if (number == 0) {
+                        Thread.currentThread().join(50);
+                        write(out, response);
+                    }
+                };
+        try (PlainConnection connection = open()) {
+            assertThat(read(connection).connectionReusable()).isTrue();
+            assertThatThrownBy(() -> read(connection)).isInstanceOf(EndpointException.class);
+        }
+    }
+
+    @Test
+    void connectionIsReusedOnlyIfResponsesNameTheirRequest() throws Exception {
+        script = (id, number, out) -> write(out, number < 2 ? identified(id) : RESPONSE);
+        try (PlainConnection connection = open()) {
+            assertThat(read(connection).connectionReusable()).isTrue();
+            assertThat(read(connection).connectionReusable()).isTrue();
+            assertThatThrownBy(() -> read(connection)).isInstanceOf(EndpointException.class);
+        }
+        script = (id, number, out) -> write(out, RESPONSE);
+        try (PlainConnection connection = open()) {
+            PlainResponse response = read(connection);
+            assertThat(response.body()).asString().isEqualTo("whole");
+            assertThat(response.connectionReusable()).isFalse();
+        }
+    }
+
+    private static String identified(String id) {
+        return RESPONSE.replace("\r\n\r\n", "\r\nSapphire-Request-Id: " + id + "\r\n\r\n");
+    }
+}
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/service/ServiceHandler.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/service/ServiceHandler.java
@@ -65,6 +65,7 @@
         String path = request.getPath();
         String method = request.getMethod();
         activeRequests.incrementAndGet();
+        HttpMessages.repeatRequestId(request, response);
         try {
             if (path.startsWith("/orders/")) {
                 serveOrder(request, response);
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/support/HttpMessages.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/support/HttpMessages.java
@@ -7,6 +7,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
@@ -18,8 +19,24 @@
     /** Response header that tells whether the request was executed; {@code not-run} means never. */
     public static final String RUN_HEADER = "Sapphire-Run";
 
+    /** Header that identifies a request; the response repeats it. */
+    private static final String REQUEST_ID_HEADER = "Sapphire-Request-Id";
+
     private HttpMessages() {}
 
+    /**
+     * Repeats the identifier of a request in its response, if it has one.
+     *
+     * @param request request
+     * @param response response to the request
+     */
+    public static void repeatRequestId(ClassicHttpRequest request, ClassicHttpResponse response) {
+        Header id = request.getFirstHeader(REQUEST_ID_HEADER);
+        if (id != null) {
+            response.setHeader(id);
+        }
+    }
+
     /**
      * Fills in a JSON response.
      *
