End stream attempts whose endpoint sends text that is no event of the stream

A stream that had begun and broke off was continued with whatever the next endpoint sent with status 200: callers found the text or the head of an error in their stream, or the stream ended as complete. A block of lines without a field of an event, or without an identifier where the events of the stream have one, now fails the attempt, which moves on or ends the stream as truncated.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/EventParser.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/EventParser.java
@@ -1,13 +1,14 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.runtime.connection.MessageLimit;
+import io.sapphirestack.runtime.connection.MessageLimitException;
 import io.sapphirestack.runtime.http.BoundedBuffer;
-import io.sapphirestack.runtime.http.MessageLimit;
-import io.sapphirestack.runtime.http.MessageLimitException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Splits the bytes of a stream of server-sent events into whole events. It holds back an incomplete
@@ -31,13 +32,37 @@
         this.pending = new BoundedBuffer(memory, MessageLimit.EVENT, maxEventBytes);
     }
 
+    /** Names of the fields of events; a block of lines with none of them is no event. */
+    private static final Set<String> FIELDS = Set.of("data", "event", "id", "retry");
+
     /**
      * Complete event.
      *
      * @param id value of its {@code id} field, empty if the field is absent or not a number
      * @param bytes the event as received, with the blank line that ends it
+     * @param kind whether the block of lines is an event
      */
-    record Event(Optional<Long> id, byte[] bytes) {}
+    record Event(Optional<Long> id, byte[] bytes, Kind kind) {
+
+        /**
+         * Returns whether the block may be part of a stream.
+         *
+         * @param hasIds whether the events of the stream have identifiers
+         */
+        boolean belongsToStream(boolean hasIds) {
+            return kind == Kind.COMMENTS || kind == Kind.EVENT && !(hasIds && id.isEmpty());
+        }
+    }
+
+    /** Kind of a block of lines. */
+    enum Kind {
+        /** Block with a field of an event. */
+        EVENT,
+        /** Comments and blank lines. */
+        COMMENTS,
+        /** Lines that are neither, for instance the text or the head of an error. */
+        FOREIGN
+    }
 
     /**
      * Parses the next bytes of the stream.
@@ -56,7 +81,7 @@
                 start = i + 1;
                 byte[] bytes = pending.copy();
                 pending.clear();
-                events.add(new Event(idOf(bytes), bytes));
+                events.add(eventOf(bytes));
                 hasField = false;
             }
         }
@@ -95,18 +120,25 @@
         pending.clear();
         return bytes.length == 0
                 ? Optional.empty()
-                : Optional.of(new Event(Optional.empty(), bytes));
+                : Optional.of(new Event(Optional.empty(), bytes, Kind.COMMENTS));
     }
 
-    private static Optional<Long> idOf(byte[] bytes) {
+    private static Event eventOf(byte[] bytes) {
+        Optional<Long> id = Optional.empty();
+        Kind kind = Kind.FOREIGN;
         for (String line : new String(bytes, StandardCharsets.UTF_8).split("\r?\n")) {
-            if (line.startsWith("id:")) {
-                String value = line.substring("id:".length()).trim();
-                return value.matches("[0-9]{1,18}")
-                        ? Optional.of(Long.parseLong(value))
-                        : Optional.empty();
+            int colon = line.indexOf(':');
+            String field = colon < 0 ? line : line.substring(0, colon);
+            kind = FIELDS.contains(field) ? Kind.EVENT : kind;
+            if (field.equals("id") && id.isEmpty()) {
+                id = idOf(line.substring(field.length()));
             }
         }
-        return Optional.empty();
+        return new Event(id, bytes, kind);
+    }
+
+    private static Optional<Long> idOf(String suffix) {
+        String value = suffix.isEmpty() ? "" : suffix.substring(1).trim();
+        return value.matches("[0-9]{1,18}") ? Optional.of(Long.parseLong(value)) : Optional.empty();
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -124,7 +124,7 @@
             }
         }
         checkDeadline();
-        List<EventParser.Event> events = withoutDelivered(attempt.poll(this::checkWait));
+        List<EventParser.Event> events = withoutDelivered(ownEvents(attempt.poll(this::checkWait)));
         if (!events.isEmpty() || attempt.isComplete()) {
             recordPause();
             if (firstResponse == null) {
@@ -165,6 +165,20 @@
         moved = false;
     }
 
+    /** Fails if an endpoint sent text that is no event of this stream, such as that of an error. */
+    private List<EventParser.Event> ownEvents(List<EventParser.Event> events)
+            throws UpstreamException {
+        if (!events.stream().allMatch(e -> e.belongsToStream(lastEventId.isPresent()))) {
+            throw new UpstreamException(
+                    "receive",
+                    attempt.endpoint().address(),
+                    "the endpoint sent text that is no event of the stream",
+                    true,
+                    null);
+        }
+        return events;
+    }
+
     /** Removes events that the caller already has, and records the last identifier. */
     private List<EventParser.Event> withoutDelivered(List<EventParser.Event> events) {
         List<EventParser.Event> newEvents =
