Use no endpoint after a restart before another instance has told what it knows

The registry of an instance that is not at its first start publishes nothing before the first exchange with a neighbour, at most 2 s.

EndpointObservationDisseminationTests.oldAnnouncementIsNotUsedBeforeTheFirstExchange fails without the hold and passes with it.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -82,6 +82,12 @@
      */
     private static final int IN_FLIGHT_REPORT_LIMIT_ENDPOINTS = 400;
 
+    /**
+     * Longest time for which a restarted instance uses no endpoint because no other instance has
+     * told what it knows, in milliseconds.
+     */
+    private static final long ENDPOINT_HOLD_MS = 2_000;
+
     private static final long LEARN_VOTERS_INTERVAL_MS = 300;
     private static final long STOP_TIMEOUT_MS = 2_000;
     private static final long VOTER_STOP_TIMEOUT_MS = 1_000;
@@ -157,6 +163,9 @@
         this.endpointRegistry =
                 new EndpointRegistry(
                         blackboard.endpoints(), name -> Optional.empty(), new PrefixIndex(), clock);
+        if (!settings.isFirstStart()) {
+            endpointRegistry.holdUntilFirstExchange(ENDPOINT_HOLD_MS);
+        }
         this.dissemination = createDissemination();
         this.trafficPlans = new TrafficPlanStore(control, blackboard.control()::read, decoder);
         this.relay = new TrafficRelay(createRelayContext(headers));
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
@@ -263,6 +263,9 @@
         neighbours.values().removeIf(n -> !n.info.equals(next.get(n.info.ref().id())));
         long nowMs = clock.nowMs();
         next.forEach((n, info) -> neighbours.computeIfAbsent(n, x -> new Neighbour(info, nowMs)));
+        if (id != null && neighbours.isEmpty()) {
+            registry.endHold();
+        }
         usage.retainNeighbours(neighbours.keySet());
         inFlight.retainNeighbours(neighbours.keySet());
         retryBudgets.retainNeighbours(neighbours.keySet());
@@ -451,6 +454,7 @@
             }
         }
         enqueue(registry.mergeBatch(reply.reports()).newer(), neighbour.info.ref().id());
+        registry.endHold();
         enqueueTo(neighbour, registry.fullReports(reply.wanted()));
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
@@ -48,6 +48,7 @@
     private final Object lock = new Object();
     private final ReportTable table = new ReportTable();
     private Consumer<EndpointReport> reportListener = report -> {};
+    private long heldUntilMs;
     private boolean changed;
 
     /**
@@ -82,6 +83,27 @@
         }
     }
 
+    /**
+     * Publishes no endpoint until another instance has told what it knows. An instance that has
+     * just started cannot tell an old announcement, which is delivered late, from a new one.
+     *
+     * @param maxMs time after which endpoints are published all the same, in milliseconds, for an
+     *     instance that reaches no other one
+     */
+    public void holdUntilFirstExchange(long maxMs) {
+        synchronized (lock) {
+            heldUntilMs = clock.nowMs() + maxMs;
+        }
+    }
+
+    /** Ends the hold, because another instance has told what it knows, or there is none. */
+    void endHold() {
+        synchronized (lock) {
+            heldUntilMs = 0;
+        }
+        publishIfChanged();
+    }
+
     @Override
     public void receive(EndpointAnnouncement announcement, String bearerKey)
             throws RefusedException {
@@ -376,7 +398,7 @@
 
     private void publishIfChanged() {
         synchronized (lock) {
-            if (!changed) {
+            if (!changed || clock.nowMs() < heldUntilMs) {
                 return;
             }
             changed = false;
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/EndpointObservationDisseminationTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/EndpointObservationDisseminationTests.java
@@ -2,12 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.quarantine.CrashEvidence;
 import io.sapphirestack.core.quarantine.CrashHistory;
 import io.sapphirestack.core.quarantine.CrashReport;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Random;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -74,6 +76,39 @@
         assertThat(members.get(2).crashes.histories().changedSince(0)).hasSize(1);
     }
 
+    /** Guards against an endpoint that left and is used again by an instance that restarts. */
+    @Example
+    void oldAnnouncementIsNotUsedBeforeTheFirstExchange() {
+        startMembers(3);
+        announce(members.get(1), "e1", 5, 1, "v1");
+        runRound();
+        members.get(1).registry.recordEnd(EndpointId.of("e1"), OptionalLong.of(5));
+        runRound();
+        Member restarted = new Member(0);
+        members.set(0, restarted);
+        byAddress.put(restarted.info.peerAddress(), restarted);
+        restarted.registry.holdUntilFirstExchange(1_000);
+        announce(restarted, "e1", 5, 1, "v1");
+        assertThat(restarted.table.read().ofService("scribe")).isEmpty();
+        members.forEach(m -> m.setMembershipView(members));
+        runRound();
+        runRound();
+        assertThat(restarted.table.read().byId()).hasSize(1);
+        assertThat(restarted.table.read().ofService("scribe")).isEmpty();
+    }
+
+    @Example
+    void announcementsAreUsedAfterTheHoldIfNoInstanceResponds() {
+        startMembers(1);
+        Member alone = members.get(0);
+        alone.registry.holdUntilFirstExchange(1_000);
+        announce(alone, "e1", 5, 1, "v1");
+        assertThat(alone.table.read().ofService("scribe")).isEmpty();
+        nowMs += 1_000;
+        alone.registry.tick();
+        assertThat(alone.table.read().ofService("scribe")).hasSize(1);
+    }
+
     /** Guards against limits that only the instances that received them keep. */
     @Example
     void lowestRateLimitOfAnEndpointReachesEveryInstanceAndEnds() {
