--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CrashGuard.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CrashGuard.java
@@ -56,14 +56,20 @@
     Optional<RelayResponse> refusal(RelayedRequest request, boolean wasSent) {
         OptionalLong requestMs = requests.remainingMs(request.fingerprint());
         if (requestMs.isPresent()) {
-            logRefusal("SAP1934", REQUEST_REASON, request, wasSent, requestMs.getAsLong());
+            LOG.info(
+                    "SAP1934",
+                    "A request was refused because it crashes the endpoints that run it",
+                    refusalFields(request, wasSent, requestMs.getAsLong()));
             return Optional.of(refuse(REQUEST_REASON, wasSent, requestMs.getAsLong()));
         }
         OptionalLong promptMs =
                 prompts.remainingMs(
                         request.service().name(), request.promptParts(), request.fingerprint());
         if (promptMs.isPresent()) {
-            logRefusal("SAP1928", PROMPT_REASON, request, wasSent, promptMs.getAsLong());
+            LOG.info(
+                    "SAP1928",
+                    "A request was refused because its prompt is quarantined",
+                    refusalFields(request, wasSent, promptMs.getAsLong()));
             return Optional.of(refuse(PROMPT_REASON, wasSent, promptMs.getAsLong()));
         }
         return Optional.empty();
@@ -75,29 +81,22 @@
                 : RelayResponse.notRun(reason, remainingMs);
     }
 
-    private static void logRefusal(
-            String event,
-            String reason,
-            RelayedRequest request,
-            boolean wasSent,
-            long remainingMs) {
-        LOG.info(
-                event,
-                "A quarantined request was refused",
-                "request",
-                request.id(),
-                "reason",
-                reason,
-                "fingerprint",
-                request.fingerprint(),
-                "service",
-                request.service().name(),
-                "promptParts",
-                request.promptParts().shared(),
-                "wasSent",
-                wasSent,
-                "remainingMs",
-                remainingMs);
+    private static Object[] refusalFields(
+            RelayedRequest request, boolean wasSent, long remainingMs) {
+        return new Object[] {
+            "request",
+            request.id(),
+            "fingerprint",
+            request.fingerprint(),
+            "service",
+            request.service().name(),
+            "promptParts",
+            request.promptParts().shared(),
+            "wasSent",
+            wasSent,
+            "remainingMs",
+            remainingMs
+        };
     }
 
     /** Returns whether no further attempt of a request may be made, whatever its prompt. */
@@ -148,28 +147,28 @@
     void logChanges() {
         int promptCount = prompts.size();
         if (promptCount != loggedPrompts) {
-            logChange(
+            LOG.warn(
                     "SAP1930",
                     "The number of quarantined prompt parts changed",
+                    "before",
                     loggedPrompts,
+                    "now",
                     promptCount);
             loggedPrompts = promptCount;
         }
         int requestCount = requests.quarantinedRequests();
         if (requestCount != loggedRequests) {
-            logChange(
+            LOG.warn(
                     "SAP1936",
                     "The number of quarantined requests changed",
+                    "before",
                     loggedRequests,
+                    "now",
                     requestCount);
             loggedRequests = requestCount;
         }
     }
 
-    private static void logChange(String event, String message, int before, int now) {
-        LOG.warn(event, message, "before", before, "now", now);
-    }
-
     /** Records that an endpoint has answered a request, or has begun to answer a stream. */
     void recordAnswer(RelayedRequest request) {
         boolean wasSuspected = requests.recordAnswer(request.fingerprint());
