--- a/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/CrashHistoryTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/CrashHistoryTable.java
@@ -1,14 +1,11 @@
 package io.sapphirestack.core.quarantine;
 
 import io.sapphirestack.core.time.MillisClock;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Crash histories of requests, as all instances observed them, as far as this instance knows.
@@ -23,15 +20,16 @@
      */
     public static final int MAX_HISTORIES = 512;
 
-    private static final Comparator<Versioned> BY_SUSPICION =
-            Comparator.<Versioned>comparingInt(entry -> entry.history().suspicion())
-                    .thenComparingLong(entry -> entry.history().lastCrashAtMs());
+    /** Histories that are removed beyond the excess, because sorting them has a cost. */
+    private static final int REMOVED_AT_ONCE = MAX_HISTORIES / 8;
+
+    private static final Comparator<CrashHistory> BY_SUSPICION =
+            Comparator.comparingInt(CrashHistory::suspicion)
+                    .thenComparingLong(CrashHistory::lastCrashAtMs);
 
     private final MillisClock wallClock;
     private final RecentAnswers answers = new RecentAnswers();
-    private final Map<Long, Versioned> histories = new ConcurrentHashMap<>();
-    private volatile long version;
-    private volatile Runnable changeListener = () -> {};
+    private final VersionedEntries<Long, CrashHistory> histories = new VersionedEntries<>();
 
     /**
      * Creates an empty table.
@@ -42,24 +40,18 @@
         this.wallClock = Objects.requireNonNull(wallClock, "wallClock");
     }
 
-    /** History and the table version at which it last changed. */
-    private record Versioned(CrashHistory history, long version) {}
-
     void setChangeListener(Runnable listener) {
-        changeListener = Objects.requireNonNull(listener, "listener");
+        histories.setChangeListener(listener);
     }
 
     @Override
     public long version() {
-        return version;
+        return histories.version();
     }
 
     @Override
     public List<CrashHistory> changedSince(long sinceVersion) {
-        return histories.values().stream()
-                .filter(entry -> entry.version() > sinceVersion)
-                .map(Versioned::history)
-                .toList();
+        return histories.changedSince(sinceVersion);
     }
 
     @Override
@@ -80,26 +72,23 @@
                     merged.lastCrashAtMs() >= nowMs - CrashReportTable.RETENTION_MS
                             && merged.lastCrashAtMs() <= nowMs + CrashReportTable.MAX_CLOCK_SKEW_MS;
             if (!merged.equals(local) && inRetention) {
-                put(merged);
+                histories.put(merged.fingerprint(), merged);
             }
         }
         removeExcess(nowMs);
     }
 
     private void removeExcess(long nowMs) {
-        histories
-                .values()
-                .removeIf(
-                        entry ->
-                                entry.history().lastCrashAtMs()
-                                        < nowMs - CrashReportTable.RETENTION_MS);
+        long oldestMs = nowMs - CrashReportTable.RETENTION_MS;
+        histories.all().stream()
+                .filter(history -> history.lastCrashAtMs() < oldestMs)
+                .forEach(history -> histories.remove(history.fingerprint()));
         int excess = histories.size() - MAX_HISTORIES;
         if (excess > 0) {
-            new ArrayList<>(histories.values())
-                    .stream()
-                            .sorted(BY_SUSPICION)
-                            .limit(excess + MAX_HISTORIES / 8)
-                            .forEach(entry -> histories.remove(entry.history().fingerprint()));
+            histories.all().stream()
+                    .sorted(BY_SUSPICION)
+                    .limit(excess + REMOVED_AT_ONCE)
+                    .forEach(history -> histories.remove(history.fingerprint()));
         }
     }
 
@@ -113,25 +102,12 @@
         long nowMs = wallClock.nowMs();
         answers.add(fingerprint, nowMs);
         Optional<CrashHistory> suspected = find(fingerprint).filter(h -> h.suspicion() > 0);
-        suspected.ifPresent(history -> put(history.answered(nowMs)));
+        suspected.ifPresent(history -> histories.put(fingerprint, history.answered(nowMs)));
         return suspected.isPresent();
     }
 
-    private void put(CrashHistory history) {
-        // The version changes last, so that a reader of the new version finds the history.
-        long next = version + 1;
-        histories.put(history.fingerprint(), new Versioned(history, next));
-        version = next;
-        changeListener.run();
-    }
-
     /** Returns the history of a fingerprint, empty if no crash is known. */
     Optional<CrashHistory> find(long fingerprint) {
-        return Optional.ofNullable(histories.get(fingerprint)).map(Versioned::history);
-    }
-
-    /** Returns all histories in no particular order. */
-    List<CrashHistory> all() {
-        return changedSince(0);
+        return histories.find(fingerprint);
     }
 }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/CrashReportTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/CrashReportTable.java
@@ -1,13 +1,11 @@
 package io.sapphirestack.core.quarantine;
 
 import io.sapphirestack.core.time.MillisClock;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -29,9 +27,7 @@
     static final long MAX_CLOCK_SKEW_MS = 60_000;
 
     private final MillisClock wallClock;
-    private final Map<CrashReport.Key, VersionedReport> reports = new HashMap<>();
-    private volatile long version;
-    private volatile Runnable changeListener = () -> {};
+    private final VersionedEntries<CrashReport.Key, CrashReport> reports = new VersionedEntries<>();
 
     /**
      * Creates an empty table.
@@ -42,16 +38,13 @@
         this.wallClock = Objects.requireNonNull(wallClock, "wallClock");
     }
 
-    /** Report and the table version at which it last changed. */
-    private record VersionedReport(CrashReport report, long version) {}
-
     void setChangeListener(Runnable listener) {
-        changeListener = Objects.requireNonNull(listener, "listener");
+        reports.setChangeListener(listener);
     }
 
     @Override
     public long version() {
-        return version;
+        return reports.version();
     }
 
     @Override
@@ -59,23 +52,22 @@
         long nowMs = wallClock.nowMs();
         long oldestMs = nowMs - RETENTION_MS;
         for (CrashReport report : received) {
-            VersionedReport known = reports.get(report.key());
-            CrashReport merged = known == null ? report : known.report().mergedWith(report);
-            boolean changed = known == null || !merged.equals(known.report());
+            Optional<CrashReport> known = reports.find(report.key());
+            CrashReport merged = known.map(k -> k.mergedWith(report)).orElse(report);
             boolean inRetention =
                     merged.observedAtMs() >= oldestMs
                             && merged.observedAtMs() <= nowMs + MAX_CLOCK_SKEW_MS;
-            if (changed && inRetention) {
-                put(merged);
+            if (inRetention && !known.equals(Optional.of(merged))) {
+                reports.put(merged.key(), merged);
             }
         }
-        reports.values().removeIf(entry -> entry.report().observedAtMs() < oldestMs);
-        while (reports.size() > MAX_REPORTS) {
-            reports.values().stream()
-                    .map(VersionedReport::report)
-                    .min(Comparator.comparingLong(CrashReport::observedAtMs))
-                    .ifPresent(oldest -> reports.remove(oldest.key()));
-        }
+        reports.all().stream()
+                .filter(report -> report.observedAtMs() < oldestMs)
+                .forEach(report -> reports.remove(report.key()));
+        reports.all().stream()
+                .sorted(Comparator.comparingLong(CrashReport::observedAtMs))
+                .limit(Math.max(0, reports.size() - MAX_REPORTS))
+                .forEach(report -> reports.remove(report.key()));
     }
 
     /**
@@ -85,30 +77,17 @@
      * @return whether a report changed
      */
     synchronized boolean clear(Set<Long> answered) {
-        List<CrashReport> changed = new ArrayList<>();
-        for (VersionedReport entry : reports.values()) {
-            CrashReport cleared = entry.report().withCleared(answered);
-            if (!cleared.equals(entry.report())) {
-                changed.add(cleared);
-            }
-        }
-        changed.forEach(this::put);
+        List<CrashReport> changed =
+                reports.all().stream()
+                        .filter(report -> !report.withCleared(answered).equals(report))
+                        .map(report -> report.withCleared(answered))
+                        .toList();
+        changed.forEach(report -> reports.put(report.key(), report));
         return !changed.isEmpty();
     }
 
-    private void put(CrashReport report) {
-        // The version changes last, so that a reader of the new version finds the report.
-        long next = version + 1;
-        reports.put(report.key(), new VersionedReport(report, next));
-        version = next;
-        changeListener.run();
-    }
-
     @Override
-    public synchronized List<CrashReport> changedSince(long sinceVersion) {
-        return reports.values().stream()
-                .filter(entry -> entry.version() > sinceVersion)
-                .map(VersionedReport::report)
-                .toList();
+    public List<CrashReport> changedSince(long sinceVersion) {
+        return reports.changedSince(sinceVersion);
     }
 }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/RequestQuarantine.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/RequestQuarantine.java
@@ -131,7 +131,7 @@
     /** Returns the number of requests that are refused now. */
     public int size() {
         return (int)
-                histories.all().stream()
+                histories.changedSince(0).stream()
                         .filter(history -> holdMs(history.suspicion()) > 0)
                         .filter(history -> remainingMs(history) > 0)
                         .count();
--- a/sapphire-core/src/test/java/io/sapphirestack/core/quarantine/RequestQuarantineTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/quarantine/RequestQuarantineTests.java
@@ -115,9 +115,9 @@
         crashLater(REQUEST);
         crashLater(REQUEST);
         CrashHistoryTable behind = new CrashHistoryTable(() -> nowMs - 30_000);
-        behind.merge(histories.all());
+        behind.merge(histories.changedSince(0));
         behind.recordAnswer(REQUEST.handle());
-        histories.merge(behind.all());
+        histories.merge(behind.changedSince(0));
         assertThat(isRefused(REQUEST)).isFalse();
     }
 
@@ -130,7 +130,8 @@
                     EndpointId.of("busy"), 1, new RequestFingerprint(100 + i), RUN_MS);
         }
         assertThat(isRefused(REQUEST)).isTrue();
-        assertThat(histories.all()).hasSizeLessThanOrEqualTo(CrashHistoryTable.MAX_HISTORIES);
+        assertThat(histories.changedSince(0))
+                .hasSizeLessThanOrEqualTo(CrashHistoryTable.MAX_HISTORIES);
     }
 
     @Test
