Client: do not send quarantined requests to other addresses, nor ask again for a failed generation

The client library sent a request that was refused as quarantined to all addresses until its timeout (30 s in the test), and asked for a generation that had failed again and again, because it ignored error events. Both tests of SapphireClientTests failed before.

--- a/sapphire-client/src/main/java/io/sapphirestack/client/GenerationStreamReader.java
+++ b/sapphire-client/src/main/java/io/sapphirestack/client/GenerationStreamReader.java
@@ -149,7 +149,9 @@
                 if (data.equals("[DONE]")) {
                     return true;
                 }
-                acceptChunk(address, offset, MAPPER.readTree(data));
+                JsonNode chunk = MAPPER.readTree(data);
+                requireNotFailed(address, chunk);
+                acceptChunk(address, offset, chunk);
                 offset = -1;
             }
             line = reader.readLine();
@@ -157,6 +159,14 @@
         return false;
     }
 
+    /** Fails if the generation was ended, so that no address can continue it. */
+    private static void requireNotFailed(String address, JsonNode chunk) throws ClientException {
+        if (chunk.path("code").asText("").equals(ProblemDetails.GENERATION_FAILED)) {
+            int status = chunk.path("status").asInt();
+            throw new ClientException(address, ProblemDetails.of(status, chunk));
+        }
+    }
+
     private void acceptChunk(String address, long offset, JsonNode chunk) throws ClientException {
         JsonNode choice = chunk.path("choices").path(0);
         if (offset < 0) {
--- a/sapphire-client/src/main/java/io/sapphirestack/client/ProblemDetails.java
+++ b/sapphire-client/src/main/java/io/sapphirestack/client/ProblemDetails.java
@@ -22,6 +22,12 @@
         String executed,
         JsonNode body) {
 
+    /** Code of a refusal that all instances give, because the request crashes endpoints. */
+    private static final String QUARANTINED = "request_quarantined";
+
+    /** Code of a generation that was ended before its output was complete. */
+    static final String GENERATION_FAILED = "generation_failed";
+
     /**
      * Reads problem details. A missing {@code detail} becomes empty, other missing texts {@code
      * unknown}.
@@ -43,6 +49,6 @@
 
     /** Returns whether the request was not executed and another address may accept it. */
     public boolean isRetryableAtAnotherAddress() {
-        return status == 503 && executed.equals("no");
+        return status == 503 && executed.equals("no") && !code.equals(QUARANTINED);
     }
 }
--- a/sapphire-client/src/test/java/io/sapphirestack/client/SapphireClientTests.java
+++ b/sapphire-client/src/test/java/io/sapphirestack/client/SapphireClientTests.java
@@ -119,6 +119,53 @@
         assertThat(requestCount).hasValue(1);
     }
 
+    @Test
+    void doesNotSendAQuarantinedRequestToOtherAddresses() throws Exception {
+        AtomicInteger requestCount = new AtomicInteger();
+        HttpRequestHandler handler =
+                (request, response, context) -> {
+                    requestCount.incrementAndGet();
+                    respondWithRefusal(response, 503, "request_quarantined", "no");
+                };
+        String first = startServer("/x", handler);
+        String second = startServer("/x", handler);
+
+        try (SapphireClient client = createClient(30_000, first, second)) {
+            assertThatThrownBy(() -> client.call(ClientRequest.of("GET", "/x")))
+                    .isInstanceOf(ClientException.class);
+        }
+        assertThat(requestCount).hasValue(1);
+    }
+
+    /** Guards against a client that asks again for an output that was ended. */
+    @Test
+    void failedGenerationEndsWithItsProblem() throws Exception {
+        AtomicInteger requestCount = new AtomicInteger();
+        String address =
+                startServer(
+                        "/v1/generations/*",
+                        (request, response, context) -> {
+                            requestCount.incrementAndGet();
+                            response.setEntity(
+                                    new StringEntity(
+                                            "event: error\ndata: {\"status\":502,"
+                                                    + "\"code\":\"generation_failed\"}\n\n"));
+                        });
+
+        try (SapphireClient client = createClient(2_000, address)) {
+            assertThatThrownBy(
+                            () ->
+                                    client.continueGeneration(
+                                            "g-i1-1-1-a", 0, (id, offset, text) -> {}))
+                    .isInstanceOfSatisfying(
+                            ClientException.class,
+                            e ->
+                                    assertThat(e.problem().orElseThrow().code())
+                                            .isEqualTo("generation_failed"));
+        }
+        assertThat(requestCount).hasValue(1);
+    }
+
     private SapphireClient createClient(long timeoutMs, String... addresses) {
         return new SapphireClient(
                 new ClientOptions(List.of(addresses), "key", timeoutMs, 2_000),
