Tell a restarted instance that an endpoint is gone although it knows a newer announcement

Cause: a late announcement gets a newer sequence at the instance that receives it. The others knew that the process is gone under an older sequence; the anti-entropy exchange compared sequence and phase as one number, so they took the restarted instance for ahead and did not send the later phase; its next exchange is 10 s later. Entries are now compared by sequence and by phase. The hold of the endpoints lasts at most 4 s, in which an instance joins.

EndpointObservationDisseminationTests.lateAnnouncementWithANewerSequenceIsNotUsedAfterTheFirstExchange failed before.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportTable.java
@@ -221,6 +221,20 @@
                 + endpoint.details().phase().ordinal();
     }
 
+    /**
+     * Returns whether an entry of a digest lacks something that another one for the same endpoint
+     * has: newer details, or a later phase. A late announcement has newer details than the report
+     * that the endpoint is gone, but an earlier phase, so each may be behind the other.
+     *
+     * @param entry entry, {@code null} if the endpoint is unknown
+     * @param other other entry
+     * @return whether the other entry has to be sent to where the entry comes from
+     */
+    public static boolean isBehind(Long entry, long other) {
+        long phases = EndpointPhase.values().length;
+        return entry == null || entry < other || entry % phases < other % phases;
+    }
+
     /** Returns the combined details sequence and phase of each known endpoint by its handle. */
     public Map<Integer, Long> digestEntries() {
         Map<Integer, Long> entries = new TreeMap<>();
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -86,7 +86,7 @@
      * Longest time for which a restarted instance uses no endpoint because no other instance has
      * told what it knows, in milliseconds.
      */
-    private static final long ENDPOINT_HOLD_MS = 2_000;
+    private static final long ENDPOINT_HOLD_MS = 4_000;
 
     private static final long LEARN_VOTERS_INTERVAL_MS = 300;
     private static final long STOP_TIMEOUT_MS = 2_000;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
@@ -13,6 +13,7 @@
 import io.sapphirestack.core.membership.InFlightAggregator;
 import io.sapphirestack.core.membership.InFlightTable;
 import io.sapphirestack.core.membership.RateLimitAggregator;
+import io.sapphirestack.core.membership.ReportTable;
 import io.sapphirestack.core.membership.RetryBudgetAggregator;
 import io.sapphirestack.core.membership.UsageAggregator;
 import io.sapphirestack.core.quarantine.CrashHistory;
@@ -469,7 +470,7 @@
         List<Integer> missingAtSender = new ArrayList<>();
         ownEntries.forEach(
                 (handle, sequence) -> {
-                    if (request.entries().getOrDefault(handle, -1L) < sequence) {
+                    if (ReportTable.isBehind(request.entries().get(handle), sequence)) {
                         missingAtSender.add(handle);
                     }
                 });
@@ -477,7 +478,7 @@
         request.entries()
                 .forEach(
                         (handle, sequence) -> {
-                            if (ownEntries.getOrDefault(handle, -1L) < sequence) {
+                            if (ReportTable.isBehind(ownEntries.get(handle), sequence)) {
                                 wanted.add(handle);
                             }
                         });
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/EndpointObservationDisseminationTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/EndpointObservationDisseminationTests.java
@@ -79,6 +79,16 @@
     /** Guards against an endpoint that left and is used again by an instance that restarts. */
     @Example
     void oldAnnouncementIsNotUsedBeforeTheFirstExchange() {
+        restartWithOldAnnouncement(1);
+    }
+
+    /** A late announcement gets a sequence above those that the other instances know. */
+    @Example
+    void lateAnnouncementWithANewerSequenceIsNotUsedAfterTheFirstExchange() {
+        restartWithOldAnnouncement(50);
+    }
+
+    private void restartWithOldAnnouncement(long sequence) {
         startMembers(3);
         announce(members.get(1), "e1", 5, 1, "v1");
         runRound();
@@ -88,7 +98,7 @@
         members.set(0, restarted);
         byAddress.put(restarted.info.peerAddress(), restarted);
         restarted.registry.holdUntilFirstExchange(1_000);
-        announce(restarted, "e1", 5, 1, "v1");
+        announce(restarted, "e1", 5, sequence, "v1");
         assertThat(restarted.table.read().ofService("scribe")).isEmpty();
         members.forEach(m -> m.setMembershipView(members));
         runRound();
