--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
@@ -264,7 +264,7 @@
         neighbours.values().removeIf(n -> !n.info.equals(next.get(n.info.ref().id())));
         long nowMs = clock.nowMs();
         next.forEach((n, info) -> neighbours.computeIfAbsent(n, x -> new Neighbour(info, nowMs)));
-        if (id != null && neighbours.isEmpty()) {
+        if (id != null && tree.contains(id) && neighbours.isEmpty()) {
             registry.endHold();
         }
         usage.retainNeighbours(neighbours.keySet());
