--- a/review/harness/review/ChangeDuringBurst.java
+++ b/review/harness/review/ChangeDuringBurst.java
@@ -5,17 +5,19 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Clients keep connections to two of three instances and send short requests that have long
- * answers, one request at a time. With the disruption, 1.7 times as many clients come for some
- * seconds. Meanwhile the operator sends a configuration with more routes. After the burst it reads
- * the configuration back.
+ * answers. With the disruption, 1.7 times as many clients come for three seconds. Meanwhile the
+ * operator sends a configuration with more routes. After the burst it reads the configuration back.
  */
 public final class ChangeDuringBurst {
 
     private static final int USUAL_CLIENTS = 80;
     private static final double BURST = 1.7;
+    private static final long BURST_MS = 3_000;
+    private static final long ARRIVAL_MS = 10;
     private static final int BURST_INSTANCES = 2;
     private static final int ANSWER_BYTES = 200_000;
     private static final int MORE_ROUTES = 350;
@@ -27,7 +29,7 @@
 
     private final Record record;
     private final Fleet fleet;
-    private int number;
+    private final AtomicInteger number = new AtomicInteger();
 
     private ChangeDuringBurst(Record record, Fleet fleet) {
         this.record = record;
@@ -86,30 +88,52 @@
     /** Returns whether the rule held. */
     private boolean run(boolean trouble) throws IOException {
         List<Connection> clients = new ArrayList<>();
-        connect(clients, USUAL_CLIENTS, "usual");
-        if (trouble) {
-            connect(clients, (int) Math.round(USUAL_CLIENTS * (BURST - 1)), "more");
+        record.write("%d clients come to each of %d instances", USUAL_CLIENTS, BURST_INSTANCES);
+        for (int i = 0; i < USUAL_CLIENTS * BURST_INSTANCES; i++) {
+            Connection connection = connect(i);
+            clients.add(connection);
+            request(connection);
         }
+        List<Thread> burst = trouble ? burst((int) Math.round(USUAL_CLIENTS * (BURST - 1))) : List.of();
         boolean acknowledged = change();
+        burst.forEach(Fleet::join);
         clients.forEach(Connection::close);
         record.write("all clients have left");
         Fleet.sleep(AFTER_BURST_MS);
         return readBack(acknowledged ? 8 : 7);
     }
 
-    private void connect(List<Connection> clients, int count, String name) throws IOException {
-        record.write("%d %s clients come to each of %d instances", count, name, BURST_INSTANCES);
-        for (int i = 0; i < count; i++) {
-            for (int instance = 0; instance < BURST_INSTANCES; instance++) {
-                Connection connection = new Connection(fleet.ip(instance), Fleet.FRONT_PORT);
-                clients.add(connection);
-                request(connection);
-            }
+    private Connection connect(int client) throws IOException {
+        return new Connection(fleet.ip(client % BURST_INSTANCES), Fleet.FRONT_PORT);
+    }
+
+    /** More clients come, each with one request, and leave after three seconds. */
+    private List<Thread> burst(int clientCount) {
+        record.write("burst: %d more clients come to each of %d instances", clientCount, BURST_INSTANCES);
+        long endMs = System.currentTimeMillis() + BURST_MS;
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < clientCount * BURST_INSTANCES; i++) {
+            int client = i;
+            Thread thread = new Thread(() -> burstClient(client, endMs));
+            thread.start();
+            threads.add(thread);
+            Fleet.sleep(ARRIVAL_MS);
+        }
+        return threads;
+    }
+
+    private void burstClient(int client, long endMs) {
+        try (Connection connection = connect(client)) {
+            request(connection);
+            Fleet.sleep(Math.max(0, endMs - System.currentTimeMillis()));
+        } catch (IOException e) {
+            record.write("client: no connection: %s", e.getMessage());
         }
+        record.write("burst: a client has left");
     }
 
     private void request(Connection client) {
-        String id = "%016x".formatted(++number);
+        String id = "%016x".formatted(number.incrementAndGet());
         List<String> fields =
                 List.of("Host: h.example", "X-Api-Key: k1", "Attempt-Id: " + id, "Deadline-Ms: 4000");
         Answer answer;
--- a/review/harness/review/Fleet.java
+++ b/review/harness/review/Fleet.java
@@ -183,6 +183,14 @@
         }
     }
 
+    static void join(Thread thread) {
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns the lines of the logs of all instances that contain a text. */
     List<String> logLines(String text) throws IOException {
         List<String> result = new ArrayList<>();
