A voter starts again after a failure of its storage

Cause: ControlService.runLoop() ended at the first failed write, exception or error, and nothing started it again or ended the process. Each full disk took one voter away for good, until the majority was gone. The logs have one SAP1003 for each of the three voters and no SAP1002 after it.

Loading writes and syncs again what may not have been synced, because pages can be clean after a failed sync without being on the disk; a disk that is still full fails the load and not a later vote. An instance whose disk is full at its start serves without its voter until there is room. A damaged log still ends the process with status 1, since trying again cannot help.

Test: VoterRestartTests, 4 of 4 failed before (no voter returned a result before the timeout; the start threw), none now.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/LogStore.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/LogStore.java
@@ -8,7 +8,8 @@
      * and makes it durable first.
      *
      * @return the stored state
-     * @throws LogStoreException if the storage cannot be read or is damaged
+     * @throws DamagedLogException if the content of the storage is damaged
+     * @throws LogStoreException if the storage cannot be read or refuses writes
      */
     StoredState load() throws LogStoreException;
 
@@ -17,6 +18,7 @@
      *
      * @param batch changes to store
      * @throws LogStoreException if a part of the batch may not be durable; the node must then stop
+     *     and the storage be loaded again
      */
     void persist(PersistBatch batch) throws LogStoreException;
 
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/LogStoreException.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/LogStoreException.java
@@ -3,7 +3,7 @@
 import io.sapphirestack.core.error.SapphireException;
 
 /** Thrown if the storage of a node fails or its content is damaged. */
-public final class LogStoreException extends SapphireException {
+public class LogStoreException extends SapphireException {
 
     private static final long serialVersionUID = 1L;
 
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -166,6 +166,7 @@
                         crashes,
                         scheduler,
                         clock);
+        localVoter.registerGauge(metrics);
         metrics.registerGauge(
                 "sapphire_peer_transferred_bytes",
                 "Bytes sent to and received from other instances.",
@@ -188,7 +189,7 @@
     private ControlService createControlService(Path dataFolder) {
         return new ControlService(
                 ReplicationSettings.withDefaults(listener.address(), settings.voters()),
-                new DiskLogStore(dataFolder.resolve("control")),
+                () -> new DiskLogStore(dataFolder.resolve("control")),
                 transport,
                 listener.handlers(),
                 clock,
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/LocalVoter.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/LocalVoter.java
@@ -1,8 +1,9 @@
 package io.sapphirestack.daemon;
 
-import io.sapphirestack.core.replication.LogStoreException;
+import io.sapphirestack.core.replication.DamagedLogException;
 import io.sapphirestack.runtime.control.ControlService;
 import io.sapphirestack.runtime.metrics.EventLog;
+import io.sapphirestack.runtime.metrics.Metrics;
 import java.nio.file.Path;
 import java.util.Objects;
 import java.util.Optional;
@@ -34,9 +35,10 @@
     }
 
     /**
-     * Reads the control log and starts the voter; does nothing without a voter.
+     * Starts the voter; does nothing without one. A disk that cannot be read or written does not
+     * fail the start: the instance serves without its voter, which tries again.
      *
-     * @throws DaemonException if the control log cannot be read
+     * @throws DaemonException if the control log is damaged
      */
     public void start() throws DaemonException {
         if (service.isEmpty()) {
@@ -44,11 +46,26 @@
         }
         try {
             service.get().start();
-        } catch (LogStoreException e) {
+        } catch (DamagedLogException e) {
             throw new DaemonException("start-voter", dataFolder.get().toString(), "" + e, e);
         }
     }
 
+    /**
+     * Registers a gauge that is 1 while the voter takes part in the control log and 0 while it
+     * waits for its restart; an instance without a voter has no such gauge.
+     *
+     * @param metrics metrics of the instance
+     */
+    public void registerGauge(Metrics metrics) {
+        service.ifPresent(
+                voter ->
+                        metrics.registerGauge(
+                                "sapphire_voter_running",
+                                "Whether the voter of this instance takes part in the control log.",
+                                () -> voter.isRunning() ? 1 : 0));
+    }
+
     /**
      * Stops the voter and waits until its log is closed.
      *
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -203,7 +203,7 @@
                                 settings.isFirstStart(),
                                 settings.minVoters(),
                                 voters::discoveryAddresses)),
-                new DiskLogStore(dataFolder.resolve("control")),
+                () -> new DiskLogStore(dataFolder.resolve("control")),
                 transport,
                 listener.handlers(),
                 clock,
@@ -275,6 +275,7 @@
     }
 
     private void registerGauges() {
+        localVoter.registerGauge(metrics);
         metrics.registerGauge(
                 "sapphire_traffic_plan_version",
                 "Version of the traffic plan in force, 0 for none.",
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterCore.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterCore.java
@@ -22,6 +22,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -30,6 +31,8 @@
  */
 final class VoterCore {
 
+    private static final Logger LOG = Logger.getLogger(VoterCore.class);
+
     /**
      * Minimum size of the log entries since the last snapshot after which a new snapshot replaces
      * them. If the last snapshot was larger, its size is the threshold.
@@ -139,16 +142,32 @@
         ControlSnapshot snapshot = state.snapshot(node.clusterId());
         snapshotExecutor.execute(
                 () -> {
-                    byte[] data = codec.encode(snapshot);
-                    voterThread.accept(
-                            () -> {
-                                snapshotRunning = false;
-                                lastSnapshotBytes = data.length;
-                                node.compact(snapshot.index(), data);
-                            });
+                    Optional<byte[]> data = encode(snapshot);
+                    voterThread.accept(() -> onSnapshotEncoded(snapshot.index(), data));
                 });
     }
 
+    /** Returns an empty result after a failure, so that a later snapshot is tried again. */
+    private Optional<byte[]> encode(ControlSnapshot snapshot) {
+        try {
+            return Optional.of(codec.encode(snapshot));
+        } catch (RuntimeException | Error e) {
+            LOG.errorf(
+                    e,
+                    "SAP1007 failed to encode the snapshot at entry %s; the log is kept",
+                    snapshot.index());
+            return Optional.empty();
+        }
+    }
+
+    private void onSnapshotEncoded(long index, Optional<byte[]> data) {
+        snapshotRunning = false;
+        if (data.isPresent()) {
+            lastSnapshotBytes = data.get().length;
+            node.compact(index, data.get());
+        }
+    }
+
     /** Receives the result of each applied command. */
     @FunctionalInterface
     interface AppliedListener {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/DiskLogStore.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/DiskLogStore.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.storage;
 
+import io.sapphirestack.core.replication.DamagedLogException;
 import io.sapphirestack.core.replication.HardState;
 import io.sapphirestack.core.replication.LogStore;
 import io.sapphirestack.core.replication.LogStoreException;
@@ -7,7 +8,9 @@
 import io.sapphirestack.core.replication.ReplicationEntry;
 import io.sapphirestack.core.replication.StoredSnapshot;
 import io.sapphirestack.core.replication.StoredState;
+import java.io.EOFException;
 import java.io.IOException;
+import java.io.UTFDataFormatException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -31,8 +34,9 @@
  * first entry of the segment.
  *
  * <p>Loading truncates an incomplete last write, unless a sync marker after it shows that it was
- * durable. Any other corruption fails the load and the files stay as they are. Not thread-safe,
- * except for {@link #syncCount()}.
+ * durable. Any other corruption fails the load and the files stay as they are. What may not have
+ * been synced is written and synced again before the load returns; a disk that refuses writes fails
+ * the load. Not thread-safe, except for {@link #syncCount()}.
  */
 public final class DiskLogStore implements LogStore {
 
@@ -104,9 +108,16 @@
             }
             currentPath = folder;
             List<ReplicationEntry> remaining = reconcile(snapshot, entries);
-            finishLoad(snapshots);
+            finishLoad(snapshots, hardState);
             loaded = true;
             return new StoredState(hardState, snapshot, remaining);
+        } catch (DamagedFileException | EOFException | UTFDataFormatException e) {
+            closeQuietly();
+            throw new DamagedLogException(
+                    "load-storage",
+                    currentPath.toString(),
+                    "the log store is damaged: " + e.getMessage(),
+                    e);
         } catch (IOException e) {
             closeQuietly();
             throw new LogStoreException(
@@ -146,19 +157,25 @@
 
     @Override
     public void close() throws LogStoreException {
-        try {
-            for (LogSegment segment : segments) {
-                segment.close();
-            }
-            if (lockChannel != null) {
-                lockChannel.close();
+        List<AutoCloseable> open = new ArrayList<>(segments);
+        if (lockChannel != null) {
+            open.add(lockChannel);
+        }
+        Optional<Exception> failure = Optional.empty();
+        for (AutoCloseable closeable : open) {
+            try {
+                closeable.close();
+            } catch (Exception e) {
+                // The others must be closed as well: a lock that is kept would fail the next load.
+                failure = Optional.of(e);
             }
-        } catch (IOException e) {
+        }
+        if (failure.isPresent()) {
             throw new LogStoreException(
                     "close-storage",
                     folder.toString(),
-                    "cannot close the log store: " + e.getMessage(),
-                    e);
+                    "cannot close the log store: " + failure.get().getMessage(),
+                    failure.get());
         }
     }
 
@@ -183,7 +200,7 @@
             return StorageCodec.decodeHardState(files.read(file));
         }
         if (!folderIsEmpty) {
-            throw new IOException(
+            throw new DamagedFileException(
                     "the hard state file is missing, but there is a log or a snapshot");
         }
         // A voter whose data folder was lost gets a new identity. Under its old identity it could
@@ -200,7 +217,7 @@
             Path file, boolean lastSegment, List<ReplicationEntry> entries) throws IOException {
         long firstIndex = indexOf(file, LOG_PREFIX);
         if (!entries.isEmpty() && entries.get(entries.size() - 1).index() + 1 != firstIndex) {
-            throw new IOException(
+            throw new DamagedFileException(
                     "the log has a gap after entry " + entries.get(entries.size() - 1).index());
         }
         return LogSegment.open(file, firstIndex, lastSegment, entries);
@@ -229,7 +246,7 @@
         List<ReplicationEntry> remaining =
                 entries.stream().filter(entry -> entry.index() > snapshotIndex).toList();
         if (!remaining.isEmpty() && remaining.get(0).index() != snapshotIndex + 1) {
-            throw new IOException(
+            throw new DamagedFileException(
                     "entries "
                             + (snapshotIndex + 1)
                             + " to "
@@ -239,13 +256,20 @@
         return remaining;
     }
 
-    private void finishLoad(List<Path> snapshots) throws IOException {
+    /**
+     * Makes the loaded state durable. The previous run may have ended at a failed sync, after which
+     * the pages of a file can be clean although they are not on the disk. Writing the bytes again
+     * lets the next sync write them, too.
+     */
+    private void finishLoad(List<Path> snapshots, HardState hardState) throws IOException {
+        // Also syncs the folder, and so the names of a snapshot and of a segment.
+        files.replace(folder.resolve(HARD_STATE), StorageCodec.encode(hardState));
         for (int i = 0; i < snapshots.size() - 1; i++) {
             files.delete(snapshots.get(i));
         }
         if (!segments.isEmpty()) {
-            // The previous process may have written the last entries without syncing them.
             LogSegment last = segments.get(segments.size() - 1);
+            last.rewriteUnmarkedTail();
             last.sync();
             last.writeMarker();
         }
@@ -338,7 +362,7 @@
         try {
             return Long.parseLong(file.getFileName().toString().substring(prefix.length()));
         } catch (NumberFormatException e) {
-            throw new IOException("the file name does not end in a log index", e);
+            throw new DamagedFileException("the file name does not end in a log index", e);
         }
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/DurableFiles.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/DurableFiles.java
@@ -60,12 +60,12 @@
     byte[] read(Path file) throws IOException {
         ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(file));
         if (content.remaining() < HEADER_BYTES) {
-            throw new IOException("the file is shorter than its header of 8 bytes");
+            throw new DamagedFileException("the file is shorter than its header of 8 bytes");
         }
         int length = content.getInt();
         int expectedCrc = content.getInt();
         if (length != content.remaining()) {
-            throw new IOException(
+            throw new DamagedFileException(
                     "the header declares "
                             + length
                             + " bytes of content but the file has "
@@ -74,7 +74,7 @@
         byte[] payload = new byte[length];
         content.get(payload);
         if (crc(payload, length) != expectedCrc) {
-            throw new IOException("the checksum of the content does not match");
+            throw new DamagedFileException("the checksum of the content does not match");
         }
         return payload;
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/LogSegment.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/LogSegment.java
@@ -33,6 +33,9 @@
     private final List<Long> entryOffsets = new ArrayList<>();
     private long endOffset;
 
+    /** End of the last valid marker that was read; the frames before it were synced. */
+    private long markedOffset;
+
     private LogSegment(Path file, long firstIndex, FileChannel channel) {
         this.file = file;
         this.firstIndex = firstIndex;
@@ -110,6 +113,18 @@
         write(payload.array());
     }
 
+    /** Writes the frames after the last marker that was read once more, at the same place. */
+    void rewriteUnmarkedTail() throws IOException {
+        ByteBuffer tail = ByteBuffer.allocate((int) (endOffset - markedOffset));
+        while (tail.hasRemaining() && channel.read(tail, markedOffset + tail.position()) >= 0) {
+            // A read may return fewer bytes than requested.
+            continue;
+        }
+        tail.flip();
+        channel.position(markedOffset);
+        DurableFiles.writeFully(channel, tail);
+    }
+
     void truncateFrom(long index) throws IOException {
         int entryPosition = (int) (index - firstIndex);
         endOffset = entryOffsets.get(entryPosition);
@@ -150,7 +165,7 @@
                 System.arraycopy(bytes, 1, encoded, 0, encoded.length);
                 ReplicationEntry entry = StorageCodec.decodeEntry(encoded);
                 if (entry.index() != firstIndex + entryOffsets.size()) {
-                    throw new IOException(
+                    throw new DamagedFileException(
                             "expected entry "
                                     + (firstIndex + entryOffsets.size())
                                     + " at offset "
@@ -162,19 +177,22 @@
                 entries.add(entry);
             }
             endOffset += FRAME_HEADER_BYTES + bytes.length;
+            if (bytes[0] == MARKER) {
+                markedOffset = endOffset;
+            }
         }
     }
 
     /** Truncates an incomplete write at the end of the log; fails if synced entries are damaged. */
     private void truncateTail(ByteBuffer content, boolean lastSegment) throws IOException {
         if (!lastSegment) {
-            throw new IOException(
+            throw new DamagedFileException(
                     "damaged at offset "
                             + endOffset
                             + ", which is before the last segment of the log");
         }
         if (isFollowedByMarker(content, endOffset)) {
-            throw new IOException(
+            throw new DamagedFileException(
                     "damaged at offset "
                             + endOffset
                             + ", in synced entries that may have been acknowledged");
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/StorageCodec.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/StorageCodec.java
@@ -94,7 +94,7 @@
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(data));
         int version = in.readUnsignedByte();
         if (version != VERSION) {
-            throw new IOException("unknown format version " + version);
+            throw new DamagedFileException("unknown format version " + version);
         }
         return in;
     }
@@ -125,7 +125,7 @@
     private static byte[] readBytes(DataInputStream in) throws IOException {
         int length = in.readInt();
         if (length < 0 || length > in.available()) {
-            throw new IOException(
+            throw new DamagedFileException(
                     "length "
                             + length
                             + " of a byte array is negative or exceeds the remaining data");
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/CommitRateMeasurement.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/CommitRateMeasurement.java
@@ -54,7 +54,7 @@
                 ControlService service =
                         new ControlService(
                                 ReplicationSettings.withDefaults(address, VOTERS),
-                                store,
+                                () -> store,
                                 peers.transport(address),
                                 peers.registry(address),
                                 MillisClock.monotonic(),
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
@@ -269,7 +269,7 @@
         ControlService service =
                 new ControlService(
                         ReplicationSettings.withDefaults(address, VOTERS),
-                        new DiskLogStore(folder.resolve(folderName)),
+                        () -> new DiskLogStore(folder.resolve(folderName)),
                         peers.transport(address),
                         peers.registry(address),
                         clock,
--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/VoterRestartTests.java
@@ -0,0 +1,151 @@
+package io.sapphirestack.runtime.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sapphirestack.core.control.ControlCommand;
+import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.id.AccountId;
+import io.sapphirestack.core.id.InstanceId;
+import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.id.OrderKey;
+import io.sapphirestack.core.record.RecordSpecResolver;
+import io.sapphirestack.core.replication.ReplicationSettings;
+import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.control.FaultyLogStore.Fault;
+import io.sapphirestack.runtime.storage.DiskLogStore;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against a voter that stays stopped after a fault that has passed: faults on several
+ * voters, one after the other, then left the control log without a majority until the processes
+ * were restarted.
+ */
+class VoterRestartTests {
+
+    private static final List<String> VOTERS = List.of("v1:1", "v2:1", "v3:1", "v4:1");
+    private static final long TIMEOUT_MS = 20_000;
+    private static final int MIN_VOTERS = 3;
+
+    @TempDir Path folder;
+
+    private final MillisClock clock = MillisClock.monotonic();
+    private final InMemoryPeers peers = new InMemoryPeers();
+    private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+    private final Map<String, ControlService> services = new LinkedHashMap<>();
+    private final Map<String, FaultyLogStore.Switch> faults = new LinkedHashMap<>();
+    private final DefaultControlClient client =
+            new DefaultControlClient(VOTERS, peers.transport("client"), scheduler, clock);
+    private int submitted;
+
+    @AfterEach
+    void stopAll() throws Exception {
+        for (ControlService service : services.values()) {
+            service.stop().get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        }
+        scheduler.shutdownNow();
+        peers.close();
+    }
+
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void votersThatFailedOneAfterTheOtherServeAgain(Fault fault) throws Exception {
+        for (String address : VOTERS) {
+            startVoter(address, Fault.NONE);
+        }
+        submit();
+        for (String address : VOTERS) {
+            failUntilRaised(address, fault);
+            submit();
+        }
+
+        for (String address : VOTERS) {
+            awaitRunningVoter(address);
+        }
+        // With one voter failing, all others are needed for a majority of the four.
+        faults.get(VOTERS.get(0)).set(Fault.NO_SPACE);
+        submit();
+    }
+
+    @Test
+    void voterWhoseDiskIsFullAtItsStartServesOnceTheDiskHasRoom() throws Exception {
+        for (String address : VOTERS) {
+            startVoter(address, Fault.NO_SPACE);
+        }
+        assertThat(services.values()).noneMatch(ControlService::isRunning);
+
+        faults.values().forEach(store -> store.set(Fault.NONE));
+
+        submit();
+    }
+
+    private void startVoter(String address, Fault initialFault) throws Exception {
+        FaultyLogStore.Switch store = new FaultyLogStore.Switch();
+        store.set(initialFault);
+        faults.put(address, store);
+        ControlService service =
+                new ControlService(
+                        ReplicationSettings.withDefaults(
+                                address,
+                                VOTERS,
+                                new ReplicationSettings.VoterPolicy(
+                                        true, true, MIN_VOTERS, () -> VOTERS)),
+                        () ->
+                                new FaultyLogStore(
+                                        new DiskLogStore(folder.resolve(address.substring(0, 2))),
+                                        store),
+                        peers.transport(address),
+                        peers.registry(address),
+                        clock,
+                        MillisClock.wall(),
+                        new Random(address.hashCode()),
+                        new RecordSpecResolver());
+        services.put(address, service);
+        service.start();
+    }
+
+    private void failUntilRaised(String address, Fault fault) throws Exception {
+        FaultyLogStore.Switch store = faults.get(address);
+        int before = store.raisedCount();
+        store.set(fault);
+        long deadlineMs = clock.nowMs() + TIMEOUT_MS;
+        while (store.raisedCount() == before) {
+            assertThat(clock.nowMs()).as("time until %s fails", address).isLessThan(deadlineMs);
+            submit();
+        }
+        store.set(Fault.NONE);
+    }
+
+    private void awaitRunningVoter(String address) throws Exception {
+        long deadlineMs = clock.nowMs() + TIMEOUT_MS;
+        while (!services.get(address).isVoter().get(TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+            assertThat(clock.nowMs())
+                    .as("time until %s is a running voter", address)
+                    .isLessThan(deadlineMs);
+            submit();
+        }
+    }
+
+    private void submit() throws Exception {
+        submitted++;
+        OrderKey key = new OrderKey(AccountId.of("a"), "refill", "k" + submitted);
+        InstanceRef holder = new InstanceRef(InstanceId.of("i1"), 1);
+        ControlResult result =
+                client.submit(
+                                new ControlCommand.ReserveOrder(key, "h", holder, "n" + submitted),
+                                TIMEOUT_MS)
+                        .get(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        assertThat(result).isEqualTo(new ControlResult.OrderGranted("n" + submitted));
+    }
+}
