A torn marker at the end of a segment no longer fails the load of the log

Cause: the marker at the end of a full segment is not synced before the next segment is created. A loss of power can tear it, and the load refused every incomplete write outside of the last segment.

Change: the end of an earlier segment is truncated, too, if its last intact entry is the one before the next segment. Anything else fails as before and changes nothing.

Test: DiskLogStoreTests.tornMarkerAtTheEndOfAnEarlierSegmentLosesNothing, 5 of 5 cases failed before.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/DiskLogStore.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/DiskLogStore.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -104,7 +105,11 @@
             List<ReplicationEntry> entries = new ArrayList<>();
             for (int i = 0; i < logs.size(); i++) {
                 currentPath = logs.get(i);
-                segments.add(openSegment(currentPath, i == logs.size() - 1, entries));
+                OptionalLong nextFirstIndex =
+                        i == logs.size() - 1
+                                ? OptionalLong.empty()
+                                : OptionalLong.of(indexOf(logs.get(i + 1), LOG_PREFIX));
+                segments.add(openSegment(currentPath, nextFirstIndex, entries));
             }
             currentPath = folder;
             List<ReplicationEntry> remaining = reconcile(snapshot, entries);
@@ -214,13 +219,14 @@
     }
 
     private static LogSegment openSegment(
-            Path file, boolean lastSegment, List<ReplicationEntry> entries) throws IOException {
+            Path file, OptionalLong nextFirstIndex, List<ReplicationEntry> entries)
+            throws IOException {
         long firstIndex = indexOf(file, LOG_PREFIX);
         if (!entries.isEmpty() && entries.get(entries.size() - 1).index() + 1 != firstIndex) {
             throw new DamagedFileException(
                     "the log has a gap after entry " + entries.get(entries.size() - 1).index());
         }
-        return LogSegment.open(file, firstIndex, lastSegment, entries);
+        return LogSegment.open(file, firstIndex, nextFirstIndex, entries);
     }
 
     /**
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/LogSegment.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/LogSegment.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * One file of the log: a sequence of frames, each with 4-byte length, 4-byte CRC-32C and payload. A
@@ -57,18 +58,19 @@
     /**
      * Opens a segment and appends its entries to a list.
      *
-     * @param lastSegment whether this is the last segment of the log; only there an incomplete
-     *     write is truncated
+     * @param nextFirstIndex first entry of the next segment, empty for the last one. An incomplete
+     *     write is truncated in the last segment, and in another one if it follows the last entry
+     *     before the next segment
      * @throws IOException if the file cannot be read, or is damaged in any other place
      */
     static LogSegment open(
-            Path file, long firstIndex, boolean lastSegment, List<ReplicationEntry> entries)
+            Path file, long firstIndex, OptionalLong nextFirstIndex, List<ReplicationEntry> entries)
             throws IOException {
         FileChannel channel =
                 FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE);
         try {
             LogSegment segment = new LogSegment(file, firstIndex, channel);
-            segment.readAll(lastSegment, entries);
+            segment.readAll(nextFirstIndex, entries);
             return segment;
         } catch (IOException e) {
             channel.close();
@@ -146,7 +148,8 @@
         endOffset += frame.limit();
     }
 
-    private void readAll(boolean lastSegment, List<ReplicationEntry> entries) throws IOException {
+    private void readAll(OptionalLong nextFirstIndex, List<ReplicationEntry> entries)
+            throws IOException {
         ByteBuffer content = ByteBuffer.allocate(Math.toIntExact(channel.size()));
         while (content.hasRemaining() && channel.read(content) >= 0) {
             // A read may return fewer bytes than requested.
@@ -156,7 +159,7 @@
         while (endOffset < content.limit()) {
             Optional<byte[]> payload = readFrame(content, (int) endOffset);
             if (payload.isEmpty()) {
-                truncateTail(content, lastSegment);
+                truncateTail(content, nextFirstIndex);
                 return;
             }
             byte[] bytes = payload.get();
@@ -183,9 +186,13 @@
         }
     }
 
-    /** Truncates an incomplete write at the end of the log; fails if synced entries are damaged. */
-    private void truncateTail(ByteBuffer content, boolean lastSegment) throws IOException {
-        if (!lastSegment) {
+    /**
+     * Truncates an incomplete write at the end of the log, or the marker at the end of an earlier
+     * segment: it is not synced before the next segment begins, so a loss of power can tear it.
+     * Fails if synced entries are damaged.
+     */
+    private void truncateTail(ByteBuffer content, OptionalLong nextFirstIndex) throws IOException {
+        if (nextFirstIndex.isPresent() && nextFirstIndex.getAsLong() != lastIndex() + 1) {
             throw new DamagedFileException(
                     "damaged at offset "
                             + endOffset
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/storage/DiskLogStoreTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/storage/DiskLogStoreTests.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.sapphirestack.core.replication.ClusterMembership;
+import io.sapphirestack.core.replication.DamagedLogException;
 import io.sapphirestack.core.replication.HardState;
 import io.sapphirestack.core.replication.LogStoreException;
 import io.sapphirestack.core.replication.PersistBatch;
@@ -24,6 +25,8 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against acknowledged entries that are missing or changed after a crash at any step of a
@@ -31,6 +34,8 @@
  */
 class DiskLogStoreTests {
 
+    private static final String LOG_1 = "log-0000000000000000001";
+
     private static final ClusterMembership VOTERS = new ClusterMembership(Map.of("A", "a:1"));
 
     @TempDir Path tempFolder;
@@ -219,12 +224,7 @@
     @Test
     void missingSegmentFailsTheLoad() throws Exception {
         Path folder = tempFolder.resolve("s");
-        try (DiskLogStore store = new DiskLogStore(folder)) {
-            store.load();
-            store.persist(batch(Optional.empty(), 0, entryAboveSegmentSize(1)));
-            store.persist(batch(Optional.empty(), 0, entryAboveSegmentSize(2)));
-            store.persist(batch(Optional.empty(), 0, entryAboveSegmentSize(3)));
-        }
+        writeThreeSegments(folder);
         Files.delete(
                 files(folder).stream()
                         .filter(file -> file.getFileName().toString().matches("log-0*2"))
@@ -234,6 +234,40 @@
         assertThatThrownBy(() -> load(folder)).hasMessageContaining("gap");
     }
 
+    /**
+     * The last marker of a segment is not synced when the next segment begins, so a loss of power
+     * can tear it. All entries before it were synced.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 8, 17, 24, 25})
+    void tornMarkerAtTheEndOfAnEarlierSegmentLosesNothing(int lostBytes) throws Exception {
+        Path folder = tempFolder.resolve("s");
+        writeThreeSegments(folder);
+        Path earlier = folder.resolve(LOG_1);
+        byte[] content = Files.readAllBytes(earlier);
+        Path zeroed = copy(folder, "zeroed");
+        Files.write(earlier, Arrays.copyOf(content, content.length - lostBytes));
+        Arrays.fill(content, content.length - lostBytes, content.length, (byte) 0);
+        Files.write(zeroed.resolve(LOG_1), content);
+
+        for (Path torn : List.of(folder, zeroed)) {
+            assertThat(indexesAndTerms(load(torn))).containsExactly("1/1", "2/1", "3/1");
+            assertThat(indexesAndTerms(load(torn))).containsExactly("1/1", "2/1", "3/1");
+        }
+    }
+
+    @Test
+    void lostEntryAtTheEndOfAnEarlierSegmentFailsTheLoadAndChangesNothing() throws Exception {
+        Path folder = tempFolder.resolve("s");
+        writeThreeSegments(folder);
+        Path earlier = folder.resolve(LOG_1);
+        byte[] torn = Arrays.copyOf(Files.readAllBytes(earlier), 1_000);
+        Files.write(earlier, torn);
+
+        assertThatThrownBy(() -> load(folder)).isInstanceOf(DamagedLogException.class);
+        assertThat(Files.readAllBytes(earlier)).isEqualTo(torn);
+    }
+
     @Test
     void folderOfAnOpenStoreCannotBeOpenedAgain() throws Exception {
         Path folder = tempFolder.resolve("s");
@@ -274,6 +308,15 @@
         }
     }
 
+    private void writeThreeSegments(Path folder) throws Exception {
+        try (DiskLogStore store = new DiskLogStore(folder)) {
+            store.load();
+            store.persist(batch(Optional.empty(), 0, entryAboveSegmentSize(1)));
+            store.persist(batch(Optional.empty(), 0, entryAboveSegmentSize(2)));
+            store.persist(batch(Optional.empty(), 0, entryAboveSegmentSize(3)));
+        }
+    }
+
     private void appendAndReload(Path folder, long index) throws Exception {
         try (DiskLogStore store = new DiskLogStore(folder)) {
             store.load();
