Parts of a process go on after a failure that has passed

- ControlWatcher: each long poll requests the next one, so one failed step ended heartbeats and updates; the instance then served an old configuration or none.
The next step now follows in any case.
- Periodic tasks: the scheduler of the JDK never runs a task again after an exception.
GuardedScheduler logs it (SAP1316) and runs it again.
- Acceptors of the listeners: an error, for example no native thread, ended them; the instance took no connection and stayed ready.
They are RestartingThreads now, and the instance is not ready during the delay.
- Event loop of the peer connections: an error ended it, and one failed flush or timer dropped those of other connections.
Each step is guarded.
- Requests of one type to a peer: if no thread could be started, no later request of the type was handled.
- Tests of suspected crashes, and the writer of the log: ended at the first exception.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/BoundedLogHandler.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/BoundedLogHandler.java
@@ -1,7 +1,7 @@
 package io.sapphirestack.daemon;
 
 import io.sapphirestack.core.time.MillisClock;
-import io.sapphirestack.runtime.concurrent.DaemonThreads;
+import io.sapphirestack.runtime.concurrent.RestartingThread;
 import java.io.PrintStream;
 import java.util.Objects;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -47,7 +47,8 @@
         this.out = Objects.requireNonNull(out, "out");
         this.clock = Objects.requireNonNull(clock, "clock");
         setFormatter(new LogLineFormatter());
-        DaemonThreads.namedFactory("log").newThread(this::writeQueuedLines).start();
+        // The failure of a line cannot be logged; the line counts as dropped.
+        new RestartingThread("log", this::writeQueuedLines, (failure, restartInMs) -> {}).start();
     }
 
     @Override
@@ -72,20 +73,27 @@
         return linesInWindow <= MAX_LINES_PER_S;
     }
 
-    private void writeQueuedLines() {
+    private void writeQueuedLines() throws InterruptedException {
+        while (true) {
+            write(queue.take());
+            long droppedCount = droppedLines.getAndSet(0);
+            if (droppedCount > 0) {
+                droppedLinesListener.accept(droppedCount);
+            }
+        }
+    }
+
+    private void write(LogRecord record) {
+        boolean written = false;
         try {
-            while (true) {
-                LogRecord record = queue.take();
-                out.print(getFormatter().format(record));
-                out.flush();
-                unwrittenLines.decrementAndGet();
-                long droppedCount = droppedLines.getAndSet(0);
-                if (droppedCount > 0) {
-                    droppedLinesListener.accept(droppedCount);
-                }
+            out.print(getFormatter().format(record));
+            out.flush();
+            written = true;
+        } finally {
+            unwrittenLines.decrementAndGet();
+            if (!written) {
+                droppedLines.incrementAndGet();
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -119,7 +119,7 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         this.listener = Objects.requireNonNull(listener, "listener");
         this.catalog = new RecordCatalog(blackboard.control()::read, specs);
-        this.scheduler = DaemonThreads.scheduler(SCHEDULER_THREADS);
+        this.scheduler = DaemonThreads.scheduler("scheduler", SCHEDULER_THREADS);
         this.attemptThreads = WorkerPools.createQueueing("attempt", settings.limits().attempts());
         this.engineOrderThreads = WorkerPools.createQueueing("engine-order", ENGINE_ORDER_THREADS);
         this.transport =
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -140,7 +140,7 @@
             throws ServiceException {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.listener = Objects.requireNonNull(listener, "listener");
-        this.scheduler = DaemonThreads.scheduler(SCHEDULER_THREADS);
+        this.scheduler = DaemonThreads.scheduler("scheduler", SCHEDULER_THREADS);
         this.transport =
                 new TcpPeerTransport(
                         listener.loop(),
@@ -402,9 +402,12 @@
         return endpointRegistry;
     }
 
-    /** Returns whether this instance is ready and not stopping, so that callers should use it. */
+    /**
+     * Returns whether this instance is ready, accepts connections and is not stopping, so that
+     * callers should use it.
+     */
     public boolean isReady() {
-        return blackboard.readiness().read() == Readiness.READY;
+        return blackboard.readiness().read() == Readiness.READY && callerListener.isAccepting();
     }
 
     /** Returns the metrics of this instance. */
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/BoundedLogHandlerTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/BoundedLogHandlerTests.java
@@ -44,6 +44,34 @@
         assertThat(reportedDrops.get()).isEqualTo(linesBeyondLimit);
     }
 
+    /** A line that cannot be written must not end the log of the process. */
+    @Test
+    void linesAreWrittenAfterOneThatFailed() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        AtomicLong failures = new AtomicLong(1);
+        PrintStream out =
+                new PrintStream(bytes, false, StandardCharsets.UTF_8) {
+                    @Override
+                    public void print(String text) {
+                        if (failures.getAndDecrement() > 0) {
+                            throw new IllegalStateException("simulated");
+                        }
+                        super.print(text);
+                    }
+                };
+        AtomicLong nowMs = new AtomicLong(10_000);
+        AtomicLong reportedDrops = new AtomicLong();
+        BoundedLogHandler handler =
+                new BoundedLogHandler(out, nowMs::get, reportedDrops::addAndGet);
+
+        handler.publish(logRecord(1));
+        handler.publish(logRecord(2));
+
+        handler.flush();
+        assertThat(bytes.toString(StandardCharsets.UTF_8)).contains("\"number\":2");
+        assertThat(reportedDrops.get()).isEqualTo(1);
+    }
+
     @Test
     void publishDoesNotBlockWhenTheOutputBlocks() {
         CountDownLatch outputReleased = new CountDownLatch(1);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/DaemonThreads.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/DaemonThreads.java
@@ -23,14 +23,15 @@
     }
 
     /**
-     * Creates a scheduler with daemon threads that removes cancelled tasks from its queue at once.
+     * Creates a scheduler with daemon threads that removes cancelled tasks from its queue at once
+     * and runs a periodic task again after a failure, which it logs.
      *
-     * @param threads number of threads, at least 1; all are named {@code scheduler}
+     * @param name name of the threads
+     * @param threads number of threads, at least 1
      * @return scheduler, to be shut down by the code that created it
      */
-    public static ScheduledThreadPoolExecutor scheduler(int threads) {
-        ScheduledThreadPoolExecutor scheduler =
-                new ScheduledThreadPoolExecutor(threads, namedFactory("scheduler"));
+    public static ScheduledThreadPoolExecutor scheduler(String name, int threads) {
+        ScheduledThreadPoolExecutor scheduler = new GuardedScheduler(threads, namedFactory(name));
         scheduler.setRemoveOnCancelPolicy(true);
         return scheduler;
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/RestartingThread.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/concurrent/RestartingThread.java
@@ -32,6 +32,7 @@
     private final AtomicBoolean started = new AtomicBoolean();
     private final CountDownLatch closing = new CountDownLatch(1);
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private volatile boolean running;
 
     /**
      * Creates a thread; nothing runs before {@link #start()}.
@@ -53,6 +54,11 @@
         }
     }
 
+    /** Returns whether a run of the task is in progress, unlike before the start or in a delay. */
+    public boolean isRunning() {
+        return running;
+    }
+
     /** Returns whether {@link #close()} was called. */
     public boolean isClosing() {
         return closing.getCount() == 0;
@@ -103,6 +109,7 @@
      * example, passes, and the part would otherwise be missing until the process is restarted.
      */
     private Throwable runOnce() throws InterruptedException {
+        running = true;
         try {
             task.run();
             return new IllegalStateException("the task of the thread returned");
@@ -110,6 +117,8 @@
             throw e;
         } catch (Exception | Error e) {
             return e;
+        } finally {
+            running = false;
         }
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
@@ -15,7 +15,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -97,9 +96,7 @@
         this.clock = Objects.requireNonNull(clock, "clock");
         this.random = Objects.requireNonNull(random, "random");
         this.voterPosition = Math.floorMod(info.ref().id().hashCode(), voters.addresses().size());
-        this.executor =
-                Executors.newSingleThreadScheduledExecutor(
-                        DaemonThreads.namedFactory("control-watcher"));
+        this.executor = DaemonThreads.scheduler("control-watcher", 1);
     }
 
     /** Joins the fleet and follows the control log until {@link #stop()}. */
@@ -183,18 +180,7 @@
             return;
         }
         long revision = blackboard.control().read().revision();
-        InstanceStatus sentStatus;
-        try {
-            sentStatus = currentStatus(self.get(), revision);
-        } catch (RuntimeException e) {
-            // Polling must go on, because without heartbeats the instance would be evicted.
-            LOG.errorf(
-                    e,
-                    "SAP1013 failed to determine the status of %s; retrying the heartbeat",
-                    self.get());
-            schedule(this::poll);
-            return;
-        }
+        InstanceStatus sentStatus = currentStatus(self.get(), revision);
         List<String> addresses = voters.addresses();
         String address = addresses.get(voterPosition % addresses.size());
         long sentMs = clock.nowMs();
@@ -294,7 +280,7 @@
 
     private void execute(Runnable task) {
         try {
-            executor.execute(task);
+            executor.execute(() -> runStep(task));
         } catch (RejectedExecutionException e) {
             LOG.debug("task rejected: the watcher has stopped");
         }
@@ -302,9 +288,31 @@
 
     private void schedule(Runnable task) {
         try {
-            executor.schedule(task, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+            executor.schedule(() -> runStep(task), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
             LOG.debug("task rejected: the watcher has stopped");
         }
     }
+
+    /**
+     * Runs one step. Each step requests the next one, so a step that fails must be followed by
+     * another: without heartbeats the instance would be evicted, and it would never learn a change
+     * again.
+     */
+    private void runStep(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            LOG.errorf(e, "SAP1013 a step of the watcher failed; it goes on with the next one");
+            schedule(this::resume);
+        }
+    }
+
+    private void resume() {
+        if (blackboard.self().read().isPresent()) {
+            poll();
+        } else {
+            join();
+        }
+    }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/CrashProber.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/CrashProber.java
@@ -2,12 +2,12 @@
 
 import io.sapphirestack.core.quarantine.RequestFingerprint;
 import io.sapphirestack.core.time.MillisClock;
-import io.sapphirestack.runtime.concurrent.DaemonThreads;
+import io.sapphirestack.runtime.concurrent.RestartingThread;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.util.Objects;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 /**
@@ -18,18 +18,21 @@
 final class CrashProber implements AutoCloseable {
 
     private static final EventLog LOG = EventLog.of(CrashProber.class);
-    private static final ThreadFactory THREADS = DaemonThreads.namedFactory("crash-prober");
 
     /** Time from a failure to its test, in milliseconds. */
     private static final long PROBE_AFTER_MS = 200;
 
+    /** Longest wait for a suspicion after which the thread checks whether it is closed. */
+    private static final long CLOSE_CHECK_MS = 1_000;
+
     /** Maximum number of waiting tests; further ones are dropped. */
     private static final int MAX_PENDING = 256;
 
     private final Predicate<SuspectedCrash> test;
     private final MillisClock clock;
     private final BlockingQueue<SuspectedCrash> pending = new LinkedBlockingQueue<>(MAX_PENDING);
-    private Thread thread;
+    private final RestartingThread thread =
+            new RestartingThread("crash-prober", this::run, CrashProber::logFailure);
 
     /**
      * Creates a prober; its thread starts with the first suspicion.
@@ -45,7 +48,7 @@
     /** Tests a suspicion later. */
     void add(SuspectedCrash suspected) {
         if (pending.offer(suspected)) {
-            startThread();
+            thread.start();
         }
     }
 
@@ -58,33 +61,32 @@
         }
     }
 
-    private synchronized void startThread() {
-        if (thread == null) {
-            thread = THREADS.newThread(this::run);
-            thread.start();
-        }
+    private static void logFailure(Throwable failure, long restartInMs) {
+        LOG.error(
+                "SAP1935",
+                failure,
+                "The test of a suspected crash failed; the others go on after a delay",
+                "delayMs",
+                restartInMs);
     }
 
-    private void run() {
-        try {
-            while (true) {
-                SuspectedCrash next = pending.take();
-                long waitMs = next.failedAtMs() + PROBE_AFTER_MS - clock.nowMs();
-                if (waitMs <= 0) {
-                    test.test(next);
-                } else if (pending.offer(next)) {
-                    Thread.sleep(waitMs);
-                }
+    private void run() throws InterruptedException {
+        while (!thread.isClosing()) {
+            SuspectedCrash next = pending.poll(CLOSE_CHECK_MS, TimeUnit.MILLISECONDS);
+            if (next == null) {
+                continue;
+            }
+            long waitMs = next.failedAtMs() + PROBE_AFTER_MS - clock.nowMs();
+            if (waitMs <= 0) {
+                test.test(next);
+            } else if (pending.offer(next)) {
+                Thread.sleep(waitMs);
             }
-        } catch (InterruptedException e) {
-            LOG.debug("SAP1935", "The tests of suspected crashes end with the relay");
         }
     }
 
     @Override
-    public synchronized void close() {
-        if (thread != null) {
-            thread.interrupt();
-        }
+    public void close() {
+        thread.close();
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
@@ -1,5 +1,7 @@
 package io.sapphirestack.runtime.http;
 
+import io.sapphirestack.runtime.concurrent.DaemonThreads;
+import io.sapphirestack.runtime.concurrent.RestartingThread;
 import io.sapphirestack.runtime.concurrent.WorkerPools;
 import io.sapphirestack.runtime.connection.TrackedSocket;
 import io.sapphirestack.runtime.error.ServiceException;
@@ -9,7 +11,6 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -47,9 +48,8 @@
     private final ThreadPoolExecutor fetchThreads;
     private final ScheduledExecutorService sweeper;
     private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
-    private final Thread acceptor;
+    private final RestartingThread acceptor;
     private final RequestDispatcher dispatcher;
-    private volatile boolean closed;
 
     /**
      * Binds the address. Connections are accepted after {@link #start()}.
@@ -63,13 +63,7 @@
         this.server = TrackedServerSocket.bind(settings.listenAddress());
         this.connectionThreads = WorkerPools.createQueueing("http", settings.maxConnections());
         this.fetchThreads = WorkerPools.createQueueing("http-fetch", settings.maxStreams());
-        this.sweeper =
-                Executors.newSingleThreadScheduledExecutor(
-                        task -> {
-                            Thread thread = new Thread(task, "http-sweeper");
-                            thread.setDaemon(true);
-                            return thread;
-                        });
+        this.sweeper = DaemonThreads.scheduler("http-sweeper", 1);
         this.config =
                 Http1Config.custom()
                         .setBufferSize(BUFFER_BYTES)
@@ -91,8 +85,9 @@
                         new BasicHttpServerExpectationDecorator(dispatcher),
                         config,
                         DefaultConnectionReuseStrategy.INSTANCE);
-        this.acceptor = new Thread(this::acceptConnections, "http-accept");
-        acceptor.setDaemon(true);
+        this.acceptor =
+                new RestartingThread(
+                        "http-accept", this::acceptConnections, HttpFrontend::logFailure);
         services.metrics()
                 .registerGauge("sapphire_http_connections", "Open connections.", connections::size);
         services.metrics()
@@ -162,24 +157,28 @@
         dispatcher.closeConnectionsAfterRequests(false);
     }
 
-    private void acceptConnections() {
-        while (!closed) {
-            try {
-                TrackedSocket socket = server.accept();
-                if (connections.size() >= settings.maxConnections()) {
-                    socket.close();
-                    LOG.warn(
-                            "SAP1202",
-                            "Connection limit reached; closing the new connection",
-                            "open",
-                            connections.size());
-                } else {
-                    serve(socket);
-                }
-            } catch (IOException | RuntimeException e) {
-                if (!closed) {
-                    LOG.warn("SAP1203", "Could not accept a connection", "reason", e);
-                }
+    private static void logFailure(Throwable failure, long restartInMs) {
+        LOG.warn(
+                "SAP1203",
+                "Could not accept a connection; the listener goes on after a delay",
+                "reason",
+                failure,
+                "delayMs",
+                restartInMs);
+    }
+
+    private void acceptConnections() throws IOException {
+        while (!acceptor.isClosing()) {
+            TrackedSocket socket = server.accept();
+            if (connections.size() >= settings.maxConnections()) {
+                socket.close();
+                LOG.warn(
+                        "SAP1202",
+                        "Connection limit reached; closing the new connection",
+                        "open",
+                        connections.size());
+            } else {
+                serve(socket);
             }
         }
     }
@@ -191,7 +190,13 @@
                         service, config, socket, () -> connections.remove(connectionRef[0]));
         connectionRef[0] = connection;
         connections.add(connection);
-        connectionThreads.execute(connection);
+        try {
+            connectionThreads.execute(connection);
+        } catch (RuntimeException | Error e) {
+            connections.remove(connection);
+            socket.close();
+            throw e;
+        }
     }
 
     private void closeStalledConnections() {
@@ -200,7 +205,7 @@
 
     @Override
     public void close() {
-        closed = true;
+        acceptor.close();
         try {
             server.close();
         } catch (IOException e) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayListener.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayListener.java
@@ -3,6 +3,7 @@
 import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.concurrent.RestartingThread;
 import io.sapphirestack.runtime.concurrent.WorkerPools;
 import io.sapphirestack.runtime.connection.TrackedSocket;
 import io.sapphirestack.runtime.error.ServiceException;
@@ -50,8 +51,8 @@
     private final ThreadPoolExecutor workers;
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean stopping = new AtomicBoolean();
+    private final RestartingThread acceptor;
     private volatile ScheduledExecutorService scheduler;
-    private volatile boolean closed;
 
     /**
      * Binds an address; no connection is accepted before {@link #start}.
@@ -82,6 +83,9 @@
         this.clock = Objects.requireNonNull(clock, "clock");
         this.workers = WorkerPools.createRejecting(name, maxConnections);
         this.server = TrackedServerSocket.bind(address);
+        this.acceptor =
+                new RestartingThread(
+                        name + "-accept", this::acceptConnections, RelayListener::logFailure);
     }
 
     /** Returns the bound address as {@code host:port}, with the actual port. */
@@ -89,6 +93,11 @@
         return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
     }
 
+    /** Returns whether connections are accepted, unlike before the start or after a failure. */
+    public boolean isAccepting() {
+        return acceptor.isRunning();
+    }
+
     /** Returns the number of open connections. */
     public int openConnections() {
         return connections.size();
@@ -101,8 +110,6 @@
      */
     public void start(ScheduledExecutorService scheduler) {
         this.scheduler = scheduler;
-        Thread acceptor = new Thread(this::acceptConnections, name + "-accept");
-        acceptor.setDaemon(true);
         acceptor.start();
         scheduler.scheduleWithFixedDelay(
                 () -> connections.forEach(c -> c.closeIfWriteTimedOut(WRITE_TIMEOUT_MS)),
@@ -125,20 +132,30 @@
         connections.forEach(CallerConnection::closeIfIdle);
     }
 
-    private void acceptConnections() {
+    private static void logFailure(Throwable failure, long restartInMs) {
+        LOG.warn(
+                "SAP1904",
+                "Accepting a connection failed; the listener goes on after a delay",
+                "cause",
+                failure,
+                "delayMs",
+                restartInMs);
+    }
+
+    private void acceptConnections() throws IOException {
         Http1Config config =
                 Http1Config.custom()
                         .setBufferSize(BUFFER_BYTES)
                         .setMaxHeaderCount(MAX_HEADER_FIELDS)
                         .setMaxLineLength(limits.get().headerBytes())
                         .build();
-        while (!closed) {
+        while (!acceptor.isClosing()) {
+            TrackedSocket socket = server.accept();
             try {
-                serve(server.accept(), config);
-            } catch (IOException e) {
-                if (!closed) {
-                    LOG.warn("SAP1904", "Accepting a connection failed", "cause", e);
-                }
+                serve(socket, config);
+            } catch (IOException | RuntimeException | Error e) {
+                socket.close();
+                throw e;
             }
         }
     }
@@ -166,12 +183,15 @@
                     connections.size());
             connections.remove(holder[0]);
             holder[0].close();
+        } catch (Error e) {
+            connections.remove(holder[0]);
+            throw e;
         }
     }
 
     @Override
     public void close() {
-        closed = true;
+        acceptor.close();
         try {
             server.close();
         } catch (IOException e) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerEventLoop.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerEventLoop.java
@@ -136,11 +136,8 @@
         while (!closed) {
             try {
                 runIteration();
-            } catch (IOException | RuntimeException e) {
-                LOG.error(
-                        "SAP1101",
-                        e,
-                        "The event loop of the peer connections failed in one iteration");
+            } catch (IOException | RuntimeException | Error e) {
+                logFailure(e);
             }
         }
         selector.keys()
@@ -148,8 +145,7 @@
         try {
             selector.close();
         } catch (IOException e) {
-            LOG.error(
-                    "SAP1101", e, "The event loop of the peer connections failed in one iteration");
+            logFailure(e);
         }
         terminated = true;
         runTasks();
@@ -169,17 +165,30 @@
         runTasks();
         long now = clock.nowMs();
         while (!timers.isEmpty() && timers.peek().atMs() <= now) {
-            timers.poll().task().run();
+            runGuarded(timers.poll().task());
         }
         Queue<PeerChannel> flushing = new ArrayDeque<>(toFlush);
         toFlush.clear();
-        flushing.forEach(PeerChannel::flush);
+        flushing.forEach(channel -> runGuarded(channel::flush));
+    }
+
+    /** Runs one task, whose failure must not keep the others from running. */
+    private static void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) {
+            logFailure(e);
+        }
+    }
+
+    private static void logFailure(Throwable failure) {
+        LOG.error("SAP1101", failure, "A step of the event loop of the peer connections failed");
     }
 
     private synchronized void runTasks() {
         Runnable task = tasks.poll();
         while (task != null) {
-            task.run();
+            runGuarded(task);
             task = tasks.poll();
         }
     }
@@ -192,6 +201,9 @@
             }
         } catch (IOException | RuntimeException e) {
             handler.onFailure(e);
+        } catch (Error e) {
+            logFailure(e);
+            handler.onFailure(new IOException("the connection failed with an error", e));
         }
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PerTypeExecutor.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PerTypeExecutor.java
@@ -40,7 +40,16 @@
                 }
                 running = true;
             }
-            executor.execute(this);
+            try {
+                executor.execute(this);
+            } catch (RuntimeException | Error e) {
+                // Without a thread the next task must try to start one again.
+                synchronized (tasks) {
+                    running = false;
+                    tasks.remove(task);
+                }
+                throw e;
+            }
         }
 
         @Override
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlWatcherTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlWatcherTests.java
@@ -29,6 +29,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Tests what the watcher publishes after replies that are delayed, unconfirmed, older than its view
@@ -47,6 +49,9 @@
     private final List<ControlCommand.JoinInstance> joins = new ArrayList<>();
     private final CompletableFuture<Void> allRepliesSent = new CompletableFuture<>();
     private ControlWatcher watcher;
+    private Runnable joinFailure = () -> {};
+    private Runnable callFailure = () -> {};
+    private int failures;
 
     @AfterEach
     void stop() {
@@ -129,6 +134,54 @@
         assertThat(joins).hasSize(1);
     }
 
+    /** Failures of one step must not end the long polls, and with them the heartbeats. */
+    @ParameterizedTest
+    @EnumSource
+    void longPollsGoOnAfterAFailedStep(FailingStep step) throws Exception {
+        step.prepare(this);
+
+        runScript(List.of(reply("K", 8, true, false), reply("K", 9, true, false)));
+
+        assertThat(failures).isPositive();
+        assertThat(blackboard.control().read().revision()).isEqualTo(9);
+    }
+
+    /** Step of the watcher that fails once. */
+    private enum FailingStep {
+        JOIN {
+            @Override
+            void prepare(ControlWatcherTests tests) {
+                tests.joinFailure = () -> tests.failOnce(new IllegalStateException("simulated"));
+            }
+        },
+        LONG_POLL {
+            @Override
+            void prepare(ControlWatcherTests tests) {
+                tests.callFailure = () -> tests.failOnce(new OutOfMemoryError("simulated"));
+            }
+        },
+        LISTENER_OF_THE_VIEW {
+            @Override
+            void prepare(ControlWatcherTests tests) {
+                tests.blackboard
+                        .control()
+                        .addListener(
+                                view -> tests.failOnce(new IllegalStateException("simulated")));
+            }
+        };
+
+        abstract void prepare(ControlWatcherTests tests);
+    }
+
+    private void failOnce(Throwable failure) {
+        if (failures++ == 0) {
+            if (failure instanceof Error error) {
+                throw error;
+            }
+            throw (RuntimeException) failure;
+        }
+    }
+
     private void runScript(List<Optional<WatchReply>> script) throws Exception {
         replies.addAll(script);
         watcher =
@@ -185,6 +238,7 @@
         @SuppressWarnings("unchecked")
         public <R> CompletableFuture<R> call(
                 String address, PeerRequest<R> request, long timeoutMs) {
+            callFailure.run();
             requests.add((WatchRequest) request);
             CompletableFuture<R> result = new CompletableFuture<>();
             Optional<WatchReply> next = replies.poll();
@@ -207,6 +261,7 @@
 
         @Override
         public CompletableFuture<ControlResult> submit(ControlCommand command, long timeoutMs) {
+            joinFailure.run();
             joins.add((ControlCommand.JoinInstance) command);
             return CompletableFuture.completedFuture(new ControlResult.Joined(JOINED, 5));
         }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/transport/TcpPeerTransportTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/transport/TcpPeerTransportTests.java
@@ -93,6 +93,30 @@
         }
     }
 
+    /** An error in one task must not end the loop, which serves all connections of an instance. */
+    @Test
+    void loopServesConnectionsAfterTasksThatFailed() throws Exception {
+        handlers.register(
+                EchoRequest.class,
+                request -> CompletableFuture.completedFuture(new EchoReply(request.text())));
+        server.start();
+        for (PeerEventLoop loop : List.of(serverLoop, clientLoop)) {
+            loop.execute(
+                    () ->
+                            loop.schedule(
+                                    0,
+                                    () -> {
+                                        throw new OutOfMemoryError("simulated in a timer");
+                                    }));
+            loop.execute(
+                    () -> {
+                        throw new StackOverflowError("simulated in a task");
+                    });
+        }
+
+        assertThat(echo("after the failures")).isEqualTo("after the failures");
+    }
+
     // Completing the queued future sends the reply, which contains the text of its own request.
     private static CompletableFuture<EchoReply> replyOnRelease(
             LinkedBlockingQueue<CompletableFuture<EchoReply>> releases, String text) {
