Connections and the log no longer use up the direct memory

Cause: for each read or write of a byte array the JDK keeps a direct buffer of its length for the thread, up to 128 KB at a socket and without a limit at a file. 128 connections took all 16 MB.

Change: reads and writes at sockets have 4 KB at most, those at files 64 KB, so 2,000 threads take half of the direct memory. An error in the thread of a connection is logged.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/GuardedInputStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/GuardedInputStream.java
@@ -103,13 +103,14 @@
         if (!blocking && in.available() == 0) {
             throw new SocketTimeoutException("no data is available");
         }
+        int maxLength = Math.min(length, TrackedSocket.MAX_TRANSFER_BYTES);
         if (guard == null) {
-            return in.read(buffer, offset, length);
+            return in.read(buffer, offset, maxLength);
         }
         while (true) {
             checkIfDue();
             try {
-                int count = in.read(buffer, offset, length);
+                int count = in.read(buffer, offset, maxLength);
                 countBytes(count);
                 return count;
             } catch (SocketTimeoutException e) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/TrackedSocket.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/TrackedSocket.java
@@ -16,6 +16,13 @@
 
     private static final EventLog LOG = EventLog.of(TrackedSocket.class);
 
+    /**
+     * Maximum number of bytes of one read or write at the socket. The JDK keeps a direct buffer of
+     * the size of the longest one for each thread. At this size, 2,000 threads of connections take
+     * half of a direct memory of 16 MB.
+     */
+    static final int MAX_TRANSFER_BYTES = 4_096;
+
     private volatile long writeStartedNanos;
     private volatile boolean writeInProgress;
     private GuardedInputStream input;
@@ -74,7 +81,10 @@
             writeStartedNanos = System.nanoTime();
             writeInProgress = true;
             try {
-                out.write(bytes, offset, length);
+                for (int written = 0; written < length; written += MAX_TRANSFER_BYTES) {
+                    int part = Math.min(MAX_TRANSFER_BYTES, length - written);
+                    out.write(bytes, offset + written, part);
+                }
             } finally {
                 writeInProgress = false;
             }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
@@ -101,7 +101,7 @@
             }
         } catch (IOException | HttpException e) {
             LOG.debug("SAP1902", "A connection of a caller failed", "cause", e);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.error(
                     "SAP1903",
                     e,
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/DurableFiles.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/DurableFiles.java
@@ -18,6 +18,12 @@
 
     private static final int HEADER_BYTES = 8;
 
+    /**
+     * Maximum number of bytes of one read or write. The JDK keeps a direct buffer of the size of
+     * the longest one for each thread, and the direct memory of a process may be small.
+     */
+    private static final int MAX_TRANSFER_BYTES = 64 * 1024;
+
     /** Called with the description of each completed step, so that tests can fail at that step. */
     private final Consumer<String> stepDone;
 
@@ -58,7 +64,7 @@
 
     /** Returns the content of a file after checking its length and checksum. */
     byte[] read(Path file) throws IOException {
-        ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(file));
+        ByteBuffer content = readAll(file);
         if (content.remaining() < HEADER_BYTES) {
             throw new DamagedFileException("the file is shorter than its header of 8 bytes");
         }
@@ -79,6 +85,14 @@
         return payload;
     }
 
+    private static ByteBuffer readAll(Path file) throws IOException {
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+            ByteBuffer content = ByteBuffer.allocate(Math.toIntExact(channel.size()));
+            readFully(channel, content, 0);
+            return content.flip();
+        }
+    }
+
     void delete(Path file) throws IOException {
         Files.deleteIfExists(file);
         syncFolder(file.getParent());
@@ -98,9 +112,25 @@
     }
 
     static void writeFully(FileChannel channel, ByteBuffer buffer) throws IOException {
-        while (buffer.hasRemaining()) {
+        int end = buffer.limit();
+        while (buffer.position() < end) {
+            buffer.limit(Math.min(end, buffer.position() + MAX_TRANSFER_BYTES));
             channel.write(buffer);
         }
+        buffer.limit(end);
+    }
+
+    /** Fills a buffer from a position of a file on, or up to the end of the file. */
+    static void readFully(FileChannel channel, ByteBuffer buffer, long filePosition)
+            throws IOException {
+        int start = buffer.position();
+        int end = buffer.limit();
+        int count = 0;
+        while (count >= 0 && buffer.position() < end) {
+            buffer.limit(Math.min(end, buffer.position() + MAX_TRANSFER_BYTES));
+            count = channel.read(buffer, filePosition + buffer.position() - start);
+        }
+        buffer.limit(end);
     }
 
     private void reportStep(Path file, String step) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/LogSegment.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/storage/LogSegment.java
@@ -118,10 +118,7 @@
     /** Writes the frames after the last marker that was read once more, at the same place. */
     void rewriteUnmarkedTail() throws IOException {
         ByteBuffer tail = ByteBuffer.allocate((int) (endOffset - markedOffset));
-        while (tail.hasRemaining() && channel.read(tail, markedOffset + tail.position()) >= 0) {
-            // A read may return fewer bytes than requested.
-            continue;
-        }
+        DurableFiles.readFully(channel, tail, markedOffset);
         tail.flip();
         channel.position(markedOffset);
         DurableFiles.writeFully(channel, tail);
@@ -151,10 +148,7 @@
     private void readAll(OptionalLong nextFirstIndex, List<ReplicationEntry> entries)
             throws IOException {
         ByteBuffer content = ByteBuffer.allocate(Math.toIntExact(channel.size()));
-        while (content.hasRemaining() && channel.read(content) >= 0) {
-            // A read may return fewer bytes than requested.
-            continue;
-        }
+        DurableFiles.readFully(channel, content, 0);
         content.flip();
         while (endOffset < content.limit()) {
             Optional<byte[]> payload = readFrame(content, (int) endOffset);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/storage/DiskLogStoreTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/storage/DiskLogStoreTests.java
@@ -12,6 +12,7 @@
 import io.sapphirestack.core.replication.SnapshotMeta;
 import io.sapphirestack.core.replication.StoredSnapshot;
 import io.sapphirestack.core.replication.StoredState;
+import io.sapphirestack.runtime.connection.DirectMemory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,6 +22,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -256,6 +259,37 @@
         }
     }
 
+    /**
+     * The direct memory of a process may be as small as one segment. The JDK keeps a direct buffer
+     * of the size of the longest read or write for each thread.
+     */
+    @Test
+    void largeEntriesAndSnapshotsTakeLittleDirectMemory() throws Exception {
+        Path folder = tempFolder.resolve("s");
+        byte[] data = new byte[9 * 1024 * 1024];
+        long before = DirectMemory.usedBytes();
+        CompletableFuture<Long> used = new CompletableFuture<>();
+        Thread voter =
+                new Thread(
+                        () -> {
+                            try {
+                                writeThreeSegments(folder);
+                                try (DiskLogStore store = new DiskLogStore(folder)) {
+                                    store.load();
+                                    store.persist(snapshotBatch(2, false, data));
+                                }
+                                load(folder);
+                                used.complete(DirectMemory.usedBytes() - before);
+                            } catch (Exception e) {
+                                used.completeExceptionally(e);
+                            }
+                        });
+        voter.start();
+
+        assertThat(used.get(60, TimeUnit.SECONDS)).isLessThanOrEqualTo(256 * 1024);
+        assertThat(load(folder).snapshot().get().data()).hasSize(data.length);
+    }
+
     @Test
     void lostEntryAtTheEndOfAnEarlierSegmentFailsTheLoadAndChangesNothing() throws Exception {
         Path folder = tempFolder.resolve("s");
@@ -346,10 +380,13 @@
     }
 
     private PersistBatch snapshotBatch(long index, boolean discardLog) {
+        return snapshotBatch(index, discardLog, new byte[] {1, 2, 3, 4});
+    }
+
+    private PersistBatch snapshotBatch(long index, boolean discardLog, byte[] data) {
         long term = discardLog ? 5 : 1;
         StoredSnapshot snapshot =
-                new StoredSnapshot(
-                        new SnapshotMeta(index, term, 1, VOTERS), new byte[] {1, 2, 3, 4});
+                new StoredSnapshot(new SnapshotMeta(index, term, 1, VOTERS), data);
         return new PersistBatch(
                 ++batchNumber, Optional.empty(), Optional.of(snapshot), discardLog, 0, List.of());
     }
