The long polls of an instance find the leader for its next command

Cause: an instance learned the leader only from its own commands. Its long polls find the new leader within a second or two and did not tell.

Change: the reply to a long poll names the leader; the directory of voters keeps it for the commands of the instance. A voter of an earlier version names none, which changes nothing.

Test: ControlServiceTests.firstCommandAfterTheLossOfTheLeaderGoesToTheNewOne, failed before (no result within 500 ms).

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
@@ -218,6 +218,7 @@
         // after that.
         ConfigurationLease lease = new ConfigurationLease(sentMs + CONFIGURATION_LEASE_MS);
         blackboard.configurationLease().update(previous -> previous.max(lease));
+        voters.recordLeader(reply.leader());
         if (reply.evicted() && reply.revision() >= joinedIndex) {
             rejoin();
         } else {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/DefaultControlClient.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/DefaultControlClient.java
@@ -15,11 +15,11 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 
 /**
- * Submits commands to the last known leader and, when that fails, to the other voters in turn.
+ * Submits commands to the last known leader and, when that fails, to the other voters in turn. The
+ * directory of voters learns the leader from this client and from the long polls of this instance.
  * Thread-safe.
  */
 public final class DefaultControlClient implements ControlClient {
@@ -36,7 +36,6 @@
     private final PeerTransport transport;
     private final ScheduledExecutorService scheduler;
     private final MillisClock clock;
-    private final AtomicReference<String> preferred;
 
     /**
      * Creates a client.
@@ -71,7 +70,6 @@
         this.transport = Objects.requireNonNull(transport, "transport");
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
         this.clock = Objects.requireNonNull(clock, "clock");
-        this.preferred = new AtomicReference<>(voters.addresses().get(0));
     }
 
     @Override
@@ -128,11 +126,6 @@
         return call.outcome;
     }
 
-    private String nextVoter(String address) {
-        List<String> addresses = voters.addresses();
-        return addresses.get((addresses.indexOf(address) + 1) % addresses.size());
-    }
-
     /** A call with its retries. The timeout is that of the whole call. */
     private final class RetryingCall<R, T> {
 
@@ -161,7 +154,7 @@
         }
 
         private void attempt() {
-            String address = preferred.get();
+            String address = voters.preferred();
             long remainingMs = deadlineMs - clock.nowMs();
             if (remainingMs <= 0) {
                 fail(address, null);
@@ -180,16 +173,16 @@
                                 ? failure.getCause()
                                 : failure;
                 maybeApplied |= !(cause instanceof TransportException t) || t.maybeSent();
-                preferred.compareAndSet(address, nextVoter(address));
+                voters.recordNoLeader(address);
                 retry(address, cause);
                 return;
             }
             Optional<T> result = resultOf.apply(reply);
             String leaderHint = leaderOf.apply(reply);
             if (!leaderHint.isEmpty() && voters.addresses().contains(leaderHint)) {
-                preferred.compareAndSet(address, leaderHint);
+                voters.recordLeader(leaderHint);
             } else if (result.isEmpty()) {
-                preferred.compareAndSet(address, nextVoter(address));
+                voters.recordNoLeader(address);
             }
             if (result.isPresent()) {
                 outcome.complete(result.get());
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterDirectory.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterDirectory.java
@@ -14,6 +14,7 @@
 
     private volatile List<String> configured;
     private final AtomicReference<FindVotersRequest.Voters> learned;
+    private final AtomicReference<String> preferred;
 
     /**
      * Creates a directory.
@@ -26,6 +27,7 @@
         }
         this.configured = List.copyOf(configured);
         this.learned = new AtomicReference<>(new FindVotersRequest.Voters(0, this.configured));
+        this.preferred = new AtomicReference<>(this.configured.get(0));
     }
 
     /** Returns the addresses of the last known voter set, at least one. */
@@ -43,6 +45,35 @@
         return new ArrayList<>(contacts);
     }
 
+    /** Returns the voter to call first: the leader as far as this instance knows it. */
+    public String preferred() {
+        return preferred.get();
+    }
+
+    /**
+     * Records the leader that a voter named. An empty address, or one that is no known voter, is
+     * ignored.
+     *
+     * @param leader address of the leader
+     */
+    public void recordLeader(String leader) {
+        if (addresses().contains(leader)) {
+            preferred.set(leader);
+        }
+    }
+
+    /**
+     * Records that a voter did not answer as the leader. The next voter becomes the preferred one,
+     * unless another one already is.
+     *
+     * @param address address of that voter
+     */
+    public void recordNoLeader(String address) {
+        List<String> addresses = addresses();
+        String next = addresses.get((addresses.indexOf(address) + 1) % addresses.size());
+        preferred.compareAndSet(address, next);
+    }
+
     /**
      * Replaces the addresses that come from the settings.
      *
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterLoop.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterLoop.java
@@ -313,7 +313,7 @@
                 callback.onResult(result);
             }
         }
-        watchTracker.completeDue(core.node().clusterId(), nowMs);
+        watchTracker.completeDue(core.node().clusterId(), core.node().leaderAddress(), nowMs);
         submitTracker.completeOverdue(nowMs, core.state().index());
         // A leader that has committed in its term knows all entries committed earlier.
         boolean isReadyToLead = core.node().hasCommittedInTerm();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/WatchReply.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/WatchReply.java
@@ -15,6 +15,7 @@
  * @param confirmed whether the leader confirmed its leadership with a majority after the request
  *     had arrived, so that the view contains every change accepted before that
  * @param evicted whether the incarnation of the instance has been evicted
+ * @param leader address of the leader that the voter knows, empty if it knows none
  */
 public record WatchReply(
         String clusterId,
@@ -22,9 +23,15 @@
         Optional<ControlDelta> delta,
         long revision,
         boolean confirmed,
-        boolean evicted) {
+        boolean evicted,
+        String leader) {
+
+    /** Takes a leader that a voter of an earlier version does not name as unknown. */
+    public WatchReply {
+        leader = leader == null ? "" : leader;
+    }
 
     static WatchReply unconfirmed(String clusterId) {
-        return new WatchReply(clusterId, Optional.empty(), Optional.empty(), 0, false, false);
+        return new WatchReply(clusterId, Optional.empty(), Optional.empty(), 0, false, false, "");
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/WatchTracker.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/WatchTracker.java
@@ -31,7 +31,7 @@
      * Replies to every long poll whose deadline has passed, whose confirmation was refused, or that
      * is confirmed and has a change to report.
      */
-    void completeDue(String clusterId, long nowMs) {
+    void completeDue(String clusterId, String leader, long nowMs) {
         watches.removeIf(
                 watch -> {
                     boolean confirmed = watch.isConfirmedAt(state.index());
@@ -40,7 +40,7 @@
                                     || watch.refused
                                     || confirmed && hasChange(watch);
                     if (due) {
-                        watch.reply.complete(createReply(watch, clusterId, confirmed));
+                        watch.reply.complete(createReply(watch, clusterId, leader, confirmed));
                     }
                     return due;
                 });
@@ -56,7 +56,8 @@
                 || !state.view().isLive(watch.request.status().ref());
     }
 
-    private WatchReply createReply(Watch watch, String clusterId, boolean confirmed) {
+    private WatchReply createReply(
+            Watch watch, String clusterId, String leader, boolean confirmed) {
         ControlView view = state.view();
         long appliedRevision = watch.request.appliedRevision();
         if (view.revision() < appliedRevision) {
@@ -72,7 +73,8 @@
                 changed ? delta : Optional.empty(),
                 view.revision(),
                 confirmed,
-                confirmed && !view.isLive(watch.request.status().ref()));
+                confirmed && !view.isLive(watch.request.status().ref()),
+                leader);
     }
 
     /** Long poll that waits for its reply. */
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
@@ -48,6 +48,9 @@
     private static final List<String> VOTERS = List.of("v1:1", "v2:1", "v3:1");
     private static final long TIMEOUT_MS = 20_000;
 
+    /** Shorter than one attempt at a voter that does not answer. */
+    private static final long SHORT_TIMEOUT_MS = 500;
+
     @TempDir Path folder;
 
     private final MillisClock clock = MillisClock.monotonic();
@@ -186,6 +189,31 @@
                 .isGreaterThanOrEqualTo(((ControlResult.RecordAccepted) result).revision());
     }
 
+    /**
+     * An instance whose operator calls are rare must not spend most of the time of the next one at
+     * a leader that was lost long before: its long polls have found the new leader meanwhile.
+     */
+    @Test
+    void firstCommandAfterTheLossOfTheLeaderGoesToTheNewOne() throws Exception {
+        VoterDirectory directory = new VoterDirectory(VOTERS);
+        DefaultControlClient ownClient =
+                new DefaultControlClient(directory, peers.transport("i1"), scheduler, clock);
+        startWatcher("i1", directory);
+        Blackboard board = blackboards.get("i1");
+        submitWith(ownClient, putAccount("c1", "a", 0, 3), TIMEOUT_MS);
+        String lost = leader();
+        submitWith(ownClient, putAccount("c2", "b", 0, 3), TIMEOUT_MS);
+
+        peers.isolate(lost);
+        ControlResult result = submit(putAccount("c3", "c", 0, 3));
+        long revision = ((ControlResult.RecordAccepted) result).revision();
+        await(board.control(), view -> view.revision() >= revision);
+        long confirmedMs = clock.nowMs() + ControlWatcher.CONFIGURATION_LEASE_MS;
+        await(board.configurationLease(), lease -> lease.isValidAt(confirmedMs - 1));
+
+        submitWith(ownClient, putAccount("c4", "d", 0, 3), SHORT_TIMEOUT_MS);
+    }
+
     @Test
     void reportedPeerIsEvictedAndItsOwnReportIsRejected() throws Exception {
         startWatcher("i1");
@@ -281,12 +309,16 @@
     }
 
     private void startWatcher(String id) {
+        startWatcher(id, new VoterDirectory(VOTERS));
+    }
+
+    private void startWatcher(String id, VoterDirectory directory) {
         Blackboard board = Blackboard.create();
         InstanceRef ref = new InstanceRef(InstanceId.of(id), 1);
         ControlWatcher watcher =
                 new ControlWatcher(
                         new InstanceInfo(ref, "az1", "r1", id + ":1", id + ":2", 1),
-                        new VoterDirectory(VOTERS),
+                        directory,
                         peers.transport(id),
                         new DefaultControlClient(VOTERS, peers.transport(id), scheduler, clock),
                         board,
@@ -323,7 +355,14 @@
     }
 
     private ControlResult submit(ControlCommand command) throws Exception {
-        return client.submit(command, TIMEOUT_MS).get(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        return submitWith(client, command, TIMEOUT_MS);
+    }
+
+    private static ControlResult submitWith(
+            ControlClient submitter, ControlCommand command, long timeoutMs) throws Exception {
+        return submitter
+                .submit(command, timeoutMs)
+                .get(timeoutMs + TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlWatcherTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlWatcherTests.java
@@ -210,7 +210,8 @@
                         Optional.empty(),
                         revision,
                         confirmed,
-                        evicted));
+                        evicted,
+                        "v2:1"));
     }
 
     private static Optional<WatchReply> reply(ControlDelta delta) {
@@ -221,7 +222,8 @@
                         Optional.of(delta),
                         delta.toRevision(),
                         true,
-                        false));
+                        false,
+                        "v2:1"));
     }
 
     private static ControlDelta delta(long from, long to) {
