A slow disk no longer keeps the control log without a leader

Cause: the voter thread wrote and synced by itself, two syncs for a term or vote and one for entries. Meanwhile it sent no heartbeat, and an election takes the write of the candidate and then that of the voters, 800 ms, while the election timeout is 300 to 600 ms: each candidacy was overtaken by the next one, for ever.

Change: the storage of a voter is written on a thread of its own; the replicated log already kept each message until what it depends on is durable. The reply to a heartbeat does not wait for the disk and counts only durable entries as matching. ElectionTimer starts no election while the own term and vote are being written, adds the time of that write, and spreads candidacies in a row.

Tests: VoterRestartTests.commandsAreAcceptedWhileAllDisksSyncSlowly, 200 and 400 ms failed before, 100 ms did not. The property tests of the replicated log, which sync late at random, pass with 2000 tries.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/FollowerReplication.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/FollowerReplication.java
@@ -20,7 +20,24 @@
         this.state = state;
     }
 
-    AppendReply append(AppendRequest request) {
+    /**
+     * Appends the entries of a request and replies to the leader. The reply to a heartbeat does not
+     * wait for the disk, however slow it is; only what is durable counts as matching in it.
+     */
+    void reply(VoterMessage from, AppendRequest request) {
+        AppendReply reply = append(request);
+        boolean heartbeat = request.entries().isEmpty() && reply.success();
+        if (heartbeat && state.queue.isHardStateDurable()) {
+            long durableMatch = Math.min(reply.matchIndex(), state.queue.durableIndex());
+            AppendReply durable = new AppendReply(reply.term(), true, durableMatch, reply.round());
+            state.queue.send(state.envelope(from.fromVoter(), from.fromAddress(), durable));
+        } else {
+            state.queue.sendWhenDurable(
+                    state.envelope(from.fromVoter(), from.fromAddress(), reply));
+        }
+    }
+
+    private AppendReply append(AppendRequest request) {
         // Entries covered by a snapshot are committed, so they match the log of every leader.
         boolean matches =
                 request.prevIndex() < state.log.snapshotMeta().index()
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/NodeState.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/NodeState.java
@@ -20,6 +20,9 @@
     private String votedFor;
     private long commitIndex;
 
+    /** Time of the last change of term or vote on the monotonic clock, in milliseconds. */
+    private long hardStateChangedMs;
+
     NodeState(
             ReplicationSettings settings,
             MillisClock clock,
@@ -102,7 +105,12 @@
                 clusterId, voterId, settings.address(), toVoter, toAddress, message);
     }
 
+    long hardStateChangedMs() {
+        return hardStateChangedMs;
+    }
+
     private void saveHardState() {
+        hardStateChangedMs = clock.nowMs();
         queue.onHardStateChanged(new HardState(voterId, clusterId, term, votedFor));
     }
 }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/PersistQueue.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/PersistQueue.java
@@ -38,6 +38,9 @@
     /** Whether the last batch was handed out and is not durable yet. */
     private boolean outstanding;
 
+    /** Whether the outstanding batch contains a hard state. */
+    private boolean outstandingHardState;
+
     private long outstandingIndex;
     private long outstandingTerm;
 
@@ -80,6 +83,11 @@
         durableIndex = 0;
     }
 
+    /** Returns whether the current term and vote are durable. */
+    boolean isHardStateDurable() {
+        return hardState == null && !outstandingHardState;
+    }
+
     long durableIndex() {
         return durableIndex;
     }
@@ -98,6 +106,7 @@
                         discardLog,
                         truncateFrom,
                         entries);
+        outstandingHardState = hardState != null;
         hardState = null;
         snapshot = null;
         discardLog = false;
@@ -116,6 +125,7 @@
             throw new IllegalStateException("batch " + number + " is not outstanding");
         }
         outstanding = false;
+        outstandingHardState = false;
         readyMessages.addAll(outstandingMessages);
         outstandingMessages = new ArrayList<>();
         // The entries of the batch may have been truncated after it was taken.
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/ReplicationNode.java
@@ -36,6 +36,7 @@
 
     private final ClusterFormation formation;
     private final FollowerReplication followerReplication;
+    private final ElectionTimer electionTimer;
     private final List<ReadResult> readResults = new ArrayList<>();
     private final Set<String> votes = new HashSet<>();
 
@@ -43,7 +44,6 @@
     private LeaderState leader;
     private String leaderAddress = "";
     private long lastLeaderContactMs;
-    private long electionDeadlineMs;
     private long electionStartMs;
     private long appliedIndex;
     private Optional<StoredSnapshot> snapshotToRestore;
@@ -67,17 +67,17 @@
         this.state = new NodeState(settings, clock, wallClock, random, stored);
         this.formation = new ClusterFormation(state);
         this.followerReplication = new FollowerReplication(state);
+        this.electionTimer = new ElectionTimer(state);
         this.snapshotToRestore = stored.snapshot();
         this.appliedIndex = state.log.snapshotMeta().index();
         this.lastLeaderContactMs = clock.nowMs() - settings.electionMinMs();
-        resetElectionTimer();
     }
 
     /** Processes timeouts; must be called at least every 20 ms. */
     public void tick() {
         long now = state.clock.nowMs();
         if (formation.tick(leader == null ? lastLeaderContactMs : now)) {
-            electionDeadlineMs = now;
+            electionTimer.expire();
         }
         if (leader != null) {
             leader.tick();
@@ -86,7 +86,7 @@
             } else {
                 leader.advanceCommitIndex();
             }
-        } else if (now >= electionDeadlineMs && state.isVoter()) {
+        } else if (electionTimer.isExpired() && state.isVoter()) {
             startElection(true, false);
         }
         stepDownIfRemoved();
@@ -147,7 +147,11 @@
      * @param batchNumber number of the batch that {@link #takeBatch()} returned last
      */
     public void onPersisted(long batchNumber) {
+        boolean wasDurable = state.queue.isHardStateDurable();
         state.queue.onPersisted(batchNumber);
+        if (!wasDurable && state.queue.isHardStateDurable()) {
+            electionTimer.onHardStateDurable(state.clock.nowMs() - state.hardStateChangedMs());
+        }
         if (leader != null) {
             leader.advanceCommitIndex();
         }
@@ -337,7 +341,10 @@
         votes.clear();
         votes.add(state.voterId);
         electionStartMs = state.clock.nowMs();
-        resetElectionTimer();
+        if (!preVote) {
+            electionTimer.onCandidacy();
+        }
+        electionTimer.reset();
         if (preVote) {
             role = ReplicationRole.PRE_CANDIDATE;
         } else {
@@ -369,6 +376,7 @@
         } else {
             role = ReplicationRole.LEADER;
             leader = new LeaderState(state, readResults, electionStartMs);
+            electionTimer.onLeader();
         }
     }
 
@@ -403,7 +411,7 @@
             if (state.votedFor().isEmpty()) {
                 state.setTermAndVote(request.term(), from.fromVoter());
             }
-            resetElectionTimer();
+            electionTimer.reset();
         }
         reply(from, new VoteReply(false, state.term(), granted));
     }
@@ -432,7 +440,7 @@
             return;
         }
         acceptLeader(from, request.term());
-        reply(from, followerReplication.append(request));
+        followerReplication.reply(from, request);
     }
 
     private void onSnapshotChunk(VoterMessage from, SnapshotChunk chunk) {
@@ -454,7 +462,8 @@
     private void acceptLeader(VoterMessage from, long term) {
         becomeFollower(term, from.fromAddress());
         lastLeaderContactMs = state.clock.nowMs();
-        resetElectionTimer();
+        electionTimer.onLeader();
+        electionTimer.reset();
     }
 
     private boolean stepDownIfTermIsHigher(long term) {
@@ -478,20 +487,12 @@
         if (leader != null) {
             leader.failReads();
             leader = null;
-            resetElectionTimer();
+            electionTimer.reset();
         }
         role = ReplicationRole.FOLLOWER;
         leaderAddress = address;
     }
 
-    private void resetElectionTimer() {
-        ReplicationSettings settings = state.settings;
-        electionDeadlineMs =
-                state.clock.nowMs()
-                        + state.random.nextLong(
-                                settings.electionMinMs(), settings.electionMaxMs() + 1);
-    }
-
     private void reply(VoterMessage to, ReplicationMessage message) {
         state.queue.sendWhenDurable(state.envelope(to.fromVoter(), to.fromAddress(), message));
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterCore.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterCore.java
@@ -27,7 +27,7 @@
 
 /**
  * Connects the replicated log to its storage and to the state machine. Not thread-safe; used on the
- * voter thread only.
+ * voter thread only, while the storage is written on a thread of its own.
  */
 final class VoterCore {
 
@@ -42,6 +42,7 @@
     private final ReplicationNode node;
     private final LogStore store;
     private final RecordSpecResolver resolver;
+    private final Executor storageExecutor;
     private final Executor snapshotExecutor;
     private final Consumer<Runnable> voterThread;
     private final Consumer<List<VoterMessage>> sender;
@@ -51,11 +52,13 @@
     private long logBytes;
     private long lastSnapshotBytes;
     private boolean snapshotRunning;
+    private Optional<Throwable> storageFailure = Optional.empty();
 
     VoterCore(
             ReplicationNode node,
             LogStore store,
             RecordSpecResolver resolver,
+            Executor storageExecutor,
             Executor snapshotExecutor,
             Consumer<Runnable> voterThread,
             Consumer<List<VoterMessage>> sender,
@@ -63,6 +66,7 @@
         this.node = node;
         this.store = store;
         this.resolver = resolver;
+        this.storageExecutor = storageExecutor;
         this.snapshotExecutor = snapshotExecutor;
         this.voterThread = voterThread;
         this.sender = sender;
@@ -82,25 +86,60 @@
     }
 
     /**
-     * Sends, persists and applies all pending messages and entries. Each batch is persisted with
-     * one sync.
+     * Sends and applies all pending messages and entries, and hands the next batch to the storage
+     * unless one is being written. All entries that arrive meanwhile form the batch after it.
+     *
+     * @throws LogStoreException if an earlier batch could not be written
      */
     void processPending() throws LogStoreException {
-        Optional<PersistBatch> batch;
-        do {
-            // Entries are sent to the followers before the local sync, so that all voters sync in
-            // parallel.
-            sender.accept(node.drainMessages());
-            batch = node.takeBatch();
-            if (batch.isPresent()) {
-                store.persist(batch.get());
-                node.onPersisted(batch.get().number());
-            }
-            applyCommitted();
-        } while (batch.isPresent());
+        throwStorageFailure();
+        // Entries are sent to the followers before the local sync, so that all voters sync in
+        // parallel.
+        sender.accept(node.drainMessages());
+        node.takeBatch().ifPresent(this::persistInBackground);
+        applyCommitted();
         sender.accept(node.drainMessages());
     }
 
+    /**
+     * Writes a batch on another thread. A disk that takes long must delay neither the heartbeats of
+     * a leader nor the elections.
+     */
+    private void persistInBackground(PersistBatch batch) {
+        storageExecutor.execute(
+                () -> {
+                    Optional<Throwable> failure = persist(batch);
+                    voterThread.accept(() -> onPersisted(batch, failure));
+                });
+    }
+
+    private Optional<Throwable> persist(PersistBatch batch) {
+        try {
+            store.persist(batch);
+            return Optional.empty();
+        } catch (LogStoreException | RuntimeException | Error e) {
+            return Optional.of(e);
+        }
+    }
+
+    private void onPersisted(PersistBatch batch, Optional<Throwable> failure) {
+        storageFailure = failure;
+        if (failure.isEmpty()) {
+            node.onPersisted(batch.number());
+        }
+    }
+
+    private void throwStorageFailure() throws LogStoreException {
+        Throwable failure = storageFailure.orElse(null);
+        if (failure instanceof LogStoreException storageException) {
+            throw storageException;
+        } else if (failure instanceof RuntimeException runtimeException) {
+            throw runtimeException;
+        } else if (failure instanceof Error error) {
+            throw error;
+        }
+    }
+
     List<ReadResult> takeReadResults() {
         return node.takeReadResults();
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterLoop.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterLoop.java
@@ -34,8 +34,9 @@
 import org.jboss.logging.Logger;
 
 /**
- * Runs the replicated log and the state machine of one voter on a single thread. All requests that
- * are queued during a disk sync are persisted together by the next sync.
+ * Runs the replicated log and the state machine of one voter on a single thread; its storage is
+ * written on another one. All requests that are queued during a disk sync are persisted together by
+ * the next sync.
  *
  * <p>A failure ends the run, because the voter no longer knows which of its entries are durable.
  * The next run opens the storage again and continues from what it contains, as a restarted process
@@ -60,6 +61,8 @@
     private final RecordSpecResolver resolver;
     private final DefaultLeaderLease lease;
     private final BlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+    private final ExecutorService storageExecutor =
+            Executors.newSingleThreadExecutor(DaemonThreads.namedFactory("control-storage"));
     private final ExecutorService snapshotExecutor =
             Executors.newSingleThreadExecutor(DaemonThreads.namedFactory("control-snapshot"));
     private final InstanceMonitor monitor = new InstanceMonitor();
@@ -135,8 +138,12 @@
     /** Ends the voter; the future completes when the storage is closed. */
     CompletableFuture<Void> stop() {
         thread.close();
-        snapshotExecutor.shutdown();
-        return thread.completion();
+        return thread.completion()
+                .thenRun(
+                        () -> {
+                            storageExecutor.shutdown();
+                            snapshotExecutor.shutdown();
+                        });
     }
 
     /**
@@ -240,6 +247,7 @@
                         node,
                         store,
                         resolver,
+                        storageExecutor,
                         snapshotExecutor,
                         queue::add,
                         new VoterMessageSender(transport),
@@ -273,12 +281,21 @@
         }
     }
 
+    /** Closes the storage after the write that may still be running. */
     private void close(LogStore store) {
-        try {
-            store.close();
-        } catch (LogStoreException e) {
-            LOG.warnf(e, "SAP1004 failed to close storage of voter at %s", settings.address());
-        }
+        CompletableFuture.runAsync(
+                        () -> {
+                            try {
+                                store.close();
+                            } catch (LogStoreException e) {
+                                LOG.warnf(
+                                        e,
+                                        "SAP1004 failed to close storage of voter at %s",
+                                        settings.address());
+                            }
+                        },
+                        storageExecutor)
+                .join();
     }
 
     private void logFailure(Throwable failure, long restartInMs) {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/FaultyLogStore.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/FaultyLogStore.java
@@ -4,6 +4,7 @@
 import io.sapphirestack.core.replication.LogStoreException;
 import io.sapphirestack.core.replication.PersistBatch;
 import io.sapphirestack.core.replication.StoredState;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Log store that fails on request and otherwise delegates to another one. */
@@ -26,6 +27,7 @@
     @Override
     public void persist(PersistBatch batch) throws LogStoreException {
         faults.check();
+        faults.delay(batch);
         delegate.persist(batch);
     }
 
@@ -68,11 +70,30 @@
     static final class Switch {
         private final AtomicInteger raisedCount = new AtomicInteger();
         private volatile Fault fault = Fault.NONE;
+        private volatile long syncMs;
 
         void set(Fault next) {
             fault = next;
         }
 
+        /**
+         * Makes each sync of a disk take a time. A hard state takes two: one of its file and one of
+         * the folder.
+         */
+        void setSyncMs(long durationMs) {
+            syncMs = durationMs;
+        }
+
+        private void delay(PersistBatch batch) {
+            int syncs =
+                    (batch.hardState().isPresent() ? 2 : 0) + (batch.entries().isEmpty() ? 0 : 1);
+            try {
+                TimeUnit.MILLISECONDS.sleep(syncs * syncMs);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException("interrupted in a simulated sync", e);
+            }
+        }
+
         int raisedCount() {
             return raisedCount.get();
         }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/VoterRestartTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/VoterRestartTests.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a voter that stays stopped after a fault that has passed: faults on several
@@ -90,6 +91,34 @@
         submit();
     }
 
+    /**
+     * Disks that sync slowly must not end the control log: the syncs of a term and a vote took
+     * longer than the election timeout, so that no leader was ever elected.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 200, 400})
+    void commandsAreAcceptedWhileAllDisksSyncSlowly(long syncMs) throws Exception {
+        for (String address : VOTERS) {
+            startVoter(address, Fault.NONE);
+            faults.get(address).setSyncMs(syncMs);
+        }
+        submit();
+        String leader =
+                VOTERS.stream()
+                        .filter(a -> services.get(a).leaderLease().current().isPresent())
+                        .findFirst()
+                        .orElseThrow();
+
+        for (int i = 0; i < 5; i++) {
+            submit();
+        }
+        assertThat(services.get(leader).leaderLease().current())
+                .as("the first leader stays")
+                .isPresent();
+        services.get(leader).stop().get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        submit();
+    }
+
     private void startVoter(String address, Fault initialFault) throws Exception {
         FaultyLogStore.Switch store = new FaultyLogStore.Switch();
         store.set(initialFault);
