The configuration is read, and a repeat acknowledged, without a log entry

Change: a read asks the leader, which confirms its leadership by a round of heartbeats and answers from its state; the log and the disks take no part. A submission reads the stored version meanwhile, so a repeat of a change that is stored is acknowledged at once. Voters of the release before do not know the new message: update the voters first.

Tests: VoterRestartTests.recordsAreReadWhileTheDisksOfAllVotersHang (the entry that reads took before stays without a result there), TrafficPlanStoreTests.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -167,7 +167,8 @@
             endpointRegistry.holdUntilFirstExchange(ENDPOINT_HOLD_MS);
         }
         this.dissemination = createDissemination();
-        this.trafficPlans = new TrafficPlanStore(control, blackboard.control()::read, decoder);
+        this.trafficPlans =
+                new TrafficPlanStore(control, control, blackboard.control()::read, decoder);
         this.relay = new TrafficRelay(createRelayContext(headers));
         this.callerListener =
                 new RelayListener(
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
@@ -10,6 +10,7 @@
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.relay.TrafficPlanException;
 import io.sapphirestack.runtime.control.ControlClient;
+import io.sapphirestack.runtime.control.RecordReader;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.util.Objects;
 import java.util.Optional;
@@ -28,6 +29,7 @@
     private static final EventLog LOG = EventLog.of(TrafficPlanStore.class);
 
     private final ControlClient control;
+    private final RecordReader reader;
     private final Supplier<ControlView> view;
     private final Decoder decoder;
     private volatile Decoded decoded = new Decoded(0, Optional.empty());
@@ -51,12 +53,18 @@
     /**
      * Creates a store.
      *
-     * @param control client of the control log
+     * @param control client that submits plans to the control log
+     * @param reader reads the stored plan
      * @param view returns the control state that this instance has applied
      * @param decoder parses the text of plans
      */
-    public TrafficPlanStore(ControlClient control, Supplier<ControlView> view, Decoder decoder) {
+    public TrafficPlanStore(
+            ControlClient control,
+            RecordReader reader,
+            Supplier<ControlView> view,
+            Decoder decoder) {
         this.control = Objects.requireNonNull(control, "control");
+        this.reader = Objects.requireNonNull(reader, "reader");
         this.view = Objects.requireNonNull(view, "view");
         this.decoder = Objects.requireNonNull(decoder, "decoder");
     }
@@ -96,7 +104,9 @@
     }
 
     /**
-     * Submits a plan. A plan whose version is not above that of the stored one is ignored.
+     * Submits a plan. A plan whose version is not above that of the stored one is ignored. A read
+     * runs beside the submission: an operator repeats a plan after a second without a response, and
+     * a plan that is stored already must not wait for another write of a slow disk.
      *
      * @param text text as the operator sent it
      * @param timeoutMs time after which the call fails, in milliseconds
@@ -105,36 +115,56 @@
      */
     public CompletableFuture<Void> submit(String text, long timeoutMs) throws TrafficPlanException {
         TrafficPlan plan = decoder.decode(text);
-        return control.submit(
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        reader.readRecord(RECORD_KEY, timeoutMs)
+                .thenAccept(
+                        record -> {
+                            if (record.map(TrafficPlanStore::versionOf).orElse(0L)
+                                    >= plan.version()) {
+                                done.complete(null);
+                            }
+                        });
+        control.submit(
                         new ControlCommand.PutNewest(
                                 "operator", RECORD_KEY, plan.version(), TextNode.valueOf(text)),
                         timeoutMs)
-                .thenAccept(
-                        result ->
-                                LOG.info(
-                                        "SAP1922",
-                                        "A traffic plan was submitted",
-                                        "version",
-                                        plan.version(),
-                                        "result",
-                                        result));
+                .whenComplete((result, failure) -> onSubmitted(plan, result, failure, done));
+        return done;
+    }
+
+    private static void onSubmitted(
+            TrafficPlan plan,
+            ControlResult result,
+            Throwable failure,
+            CompletableFuture<Void> done) {
+        if (failure != null) {
+            done.completeExceptionally(failure);
+            return;
+        }
+        LOG.info(
+                "SAP1922",
+                "A traffic plan was submitted",
+                "version",
+                plan.version(),
+                "result",
+                result);
+        done.complete(null);
     }
 
     /**
-     * Reads the newest plan by a linearizable read through the control log.
+     * Reads the newest plan by a linearizable read.
      *
      * @param timeoutMs time after which the call fails, in milliseconds
      * @return text as the operator sent it, empty if there is none; fails if the newest plan cannot
      *     be confirmed
      */
     public CompletableFuture<Optional<String>> readNewest(long timeoutMs) {
-        return control.submit(new ControlCommand.ReadRecord(RECORD_KEY), timeoutMs)
-                .thenApply(
-                        result ->
-                                ((ControlResult.RecordHistory) result)
-                                        .versions().stream()
-                                                .findFirst()
-                                                .map(TrafficPlanStore::textOf));
+        return reader.readRecord(RECORD_KEY, timeoutMs)
+                .thenApply(record -> record.map(TrafficPlanStore::textOf));
+    }
+
+    private static long versionOf(ConfigRecord record) {
+        return record.body().path(ControlState.NUMBER_FIELD).asLong();
     }
 
     private static String textOf(ConfigRecord record) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
@@ -70,6 +70,7 @@
         registry.register(ConfirmRequest.class, this::onConfirm);
         registry.register(FleetRequest.class, this::onFleet);
         registry.register(ReportPeerRequest.class, this::onReportPeer);
+        registry.register(ReadRecordRequest.class, this::onReadRecord);
     }
 
     /**
@@ -228,6 +229,38 @@
                 });
     }
 
+    private CompletableFuture<ReadRecordRequest.ReadRecordReply> onReadRecord(
+            ReadRecordRequest request) {
+        return loop.call(
+                ReadRecordRequest.ReadRecordReply.unconfirmed(""),
+                reply -> {
+                    String leader = loop.core().node().leaderAddress();
+                    ReadRecordRequest.ReadRecordReply unconfirmed =
+                            ReadRecordRequest.ReadRecordReply.unconfirmed(leader);
+                    if (loop.core().node().leadership().isPresent()) {
+                        // A read is confirmed once all entries before it are applied.
+                        loop.confirmLeadership(
+                                index -> reply.complete(read(request, leader)),
+                                () -> reply.complete(unconfirmed));
+                    } else if (request.forwarded() || leader.isEmpty()) {
+                        reply.complete(unconfirmed);
+                    } else {
+                        transport
+                                .call(
+                                        leader,
+                                        new ReadRecordRequest(request.key(), true),
+                                        FORWARD_TIMEOUT_MS)
+                                .exceptionally(failure -> unconfirmed)
+                                .thenAccept(reply::complete);
+                    }
+                });
+    }
+
+    private ReadRecordRequest.ReadRecordReply read(ReadRecordRequest request, String leader) {
+        return new ReadRecordRequest.ReadRecordReply(
+                true, loop.core().state().view().findRecord(request.key()), leader);
+    }
+
     private CompletableFuture<FleetRequest.FleetReply> onFleet(FleetRequest request) {
         return loop.call(
                 new FleetRequest.FleetReply(Optional.empty(), ""),
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/DefaultControlClient.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/DefaultControlClient.java
@@ -4,6 +4,8 @@
 import io.sapphirestack.core.control.ControlResult;
 import io.sapphirestack.core.control.FleetStatus;
 import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.record.ConfigRecord;
+import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.transport.PeerRequest;
 import io.sapphirestack.runtime.transport.PeerTransport;
@@ -22,7 +24,7 @@
  * directory of voters learns the leader from this client and from the long polls of this instance.
  * Thread-safe.
  */
-public final class DefaultControlClient implements ControlClient {
+public final class DefaultControlClient implements ControlClient, RecordReader {
 
     /**
      * Timeout of one attempt at one voter. The voters replace an unreachable leader within about
@@ -101,6 +103,21 @@
         return call.outcome;
     }
 
+    @Override
+    public CompletableFuture<Optional<ConfigRecord>> readRecord(RecordKey key, long timeoutMs) {
+        Objects.requireNonNull(key, "key");
+        RetryingCall<ReadRecordRequest.ReadRecordReply, Optional<ConfigRecord>> call =
+                new RetryingCall<>(
+                        "read-record",
+                        attemptMs -> new ReadRecordRequest(key, false),
+                        reply -> reply.confirmed() ? Optional.of(reply.record()) : Optional.empty(),
+                        ReadRecordRequest.ReadRecordReply::leader,
+                        reply -> false,
+                        timeoutMs);
+        call.attempt();
+        return call.outcome;
+    }
+
     /**
      * Reports a peer that does not acknowledge appends. The leader evicts the peer unless one of
      * the two is not live or already being evicted, or a report of the same reporter was accepted
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/VoterRestartTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/VoterRestartTests.java
@@ -2,12 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.TextNode;
 import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.control.ControlResult;
 import io.sapphirestack.core.id.AccountId;
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.id.OrderKey;
+import io.sapphirestack.core.record.ConfigRecord;
+import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.replication.ReplicationSettings;
 import io.sapphirestack.core.time.MillisClock;
@@ -17,7 +20,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +43,7 @@
     private static final List<String> VOTERS = List.of("v1:1", "v2:1", "v3:1", "v4:1");
     private static final long TIMEOUT_MS = 20_000;
     private static final int MIN_VOTERS = 3;
+    private static final long HANG_MS = 4_000;
 
     @TempDir Path folder;
 
@@ -119,6 +125,34 @@
         submit();
     }
 
+    /**
+     * Reads must not depend on the disks: an operator reads the configuration from a busy fleet.
+     */
+    @Test
+    void recordsAreReadWhileTheDisksOfAllVotersHang() throws Exception {
+        RecordKey key = new RecordKey("traffic-plan", "current");
+        for (String address : VOTERS) {
+            startVoter(address, Fault.NONE);
+        }
+        submit();
+        client.submit(
+                        new ControlCommand.PutNewest("operator", key, 7, TextNode.valueOf("plan")),
+                        TIMEOUT_MS)
+                .get(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        faults.values().forEach(store -> store.setSyncMs(HANG_MS));
+        CompletableFuture<ControlResult> blocked =
+                client.submit(new ControlCommand.ReadHistory(key), TIMEOUT_MS);
+
+        for (int i = 0; i < 20; i++) {
+            Optional<ConfigRecord> record =
+                    client.readRecord(key, TIMEOUT_MS).get(HANG_MS, TimeUnit.MILLISECONDS);
+            assertThat(record.map(found -> found.body().path("number").asInt())).contains(7);
+        }
+        assertThat(blocked).isNotDone();
+        faults.values().forEach(store -> store.setSyncMs(0));
+        blocked.get(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void startVoter(String address, Fault initialFault) throws Exception {
         FaultyLogStore.Switch store = new FaultyLogStore.Switch();
         store.set(initialFault);
