--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointAnnouncement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointAnnouncement.java
@@ -5,6 +5,8 @@
 import io.sapphirestack.core.record.ModelPin;
 import java.util.List;
 import java.util.Objects;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Message in which an endpoint reports its address, models, load and phase, about once a second.
@@ -37,17 +39,41 @@
         long highestFencingToken,
         EndpointPhase phase) {
 
+    private static final Pattern ADDRESS = Pattern.compile("[^:\\s]+:([0-9]{1,5})");
+    private static final int MAX_PORT = 65_535;
+
     /**
-     * Checks that id, service and address are present; other absent components get their defaults.
+     * Checks that id, service and address are present and that the address can be connected to;
+     * other absent components get their defaults.
+     *
+     * @throws IllegalArgumentException if the address is not {@code host:port} with a valid port
      */
     public EndpointAnnouncement {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(address, "address");
+        if (!isAddress(address)) {
+            throw new IllegalArgumentException("address is not host:port: " + address);
+        }
         availabilityZone = availabilityZone == null ? "" : availabilityZone;
         models = models == null ? List.of() : List.copyOf(models);
         load = load == null ? EndpointLoad.NONE : load;
         cacheEvents = cacheEvents == null ? List.of() : List.copyOf(cacheEvents);
         phase = phase == null ? EndpointPhase.SERVING : phase;
     }
+
+    /**
+     * Returns whether a text is {@code host:port} with a port that can be connected to. An address
+     * of another form would fail in each request that is sent there.
+     *
+     * @param text text to check
+     */
+    public static boolean isAddress(String text) {
+        Matcher matcher = ADDRESS.matcher(text);
+        if (!matcher.matches()) {
+            return false;
+        }
+        int port = Integer.parseInt(matcher.group(1));
+        return port >= 1 && port <= MAX_PORT;
+    }
 }
