A response to HEAD has no body

Cause: CallerConnection wrote the body of each response whatever the method, and all responses that an instance makes itself have one.

Change: no body follows the head of a response to HEAD, plain or streamed, on all listeners.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
@@ -25,6 +25,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.Method;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
@@ -71,6 +72,9 @@
     private final Runnable onClosed;
     private final RequestTurn turn = new RequestTurn();
 
+    /** Whether the current request is a HEAD, whose response has no body. */
+    private boolean headRequest;
+
     CallerConnection(
             TrackedSocket socket,
             Http1Config config,
@@ -151,6 +155,7 @@
     /** Receives a whole request; sends the rejection of one that is invalid or above a limit. */
     private Optional<CallerExchange> receiveRequest(ByteBudget.Lease lease)
             throws IOException, HttpException {
+        headRequest = false;
         try {
             socket.guardedInput()
                     .guardHead(
@@ -161,6 +166,7 @@
                 // The library accepts a head that ends with the connection; its rest is unknown.
                 return Optional.empty();
             }
+            headRequest = Method.HEAD.isSame(request.getMethod());
             Optional<RequestChecks.Rejection> rejection = RequestChecks.check(request, limits);
             if (rejection.isPresent()) {
                 reject(rejection.get());
@@ -261,8 +267,14 @@
     private void send(ClassicHttpResponse response, byte[] body) throws IOException, HttpException {
         response.setHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length));
         response.setEntity(new ByteArrayEntity(body, null));
+        send(response);
+    }
+
+    private void send(ClassicHttpResponse response) throws IOException, HttpException {
         connection.sendResponseHeader(response);
-        connection.sendResponseEntity(response);
+        if (!headRequest) {
+            connection.sendResponseEntity(response);
+        }
         connection.flush();
     }
 
@@ -378,9 +390,7 @@
                                 }
                             }));
             try {
-                connection.sendResponseHeader(response);
-                connection.sendResponseEntity(response);
-                connection.flush();
+                send(response);
             } catch (HttpException e) {
                 throw new IOException("the response cannot be encoded", e);
             }
