Requests in progress get a response before a planned stop ends

Report of other operators: requests that came late in the grace of a planned stop were cut at its end with no answer.

Here no request is taken later than 2.5 s after the signal. But one that was taken before, on a route that allows more than the rest of the grace, was still waiting when the process ended.

Change: the signal moves the deadline of all requests but streams to 1 s before the end of the grace. What is still at an endpoint then gets 504; what was not sent is refused as not run.

Test: MisbehavingCallerTests. requestInProgressAtTheEndOfAPlannedStopGetsAResponse, both cases failed before (504 after the 5 s of the route).

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayLifecycle.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayLifecycle.java
@@ -35,6 +35,9 @@
     /** Part of the grace period that is reserved for leaving the fleet, in milliseconds. */
     static final long LEAVE_TIMEOUT_MS = 700;
 
+    /** Time in which the last responses reach the callers before the instance leaves. */
+    private static final long RESPONSE_TIME_MS = 300;
+
     private static final long TICK_INTERVAL_MS = 100;
     private static final long TICKS_PER_SWEEP = 10;
     private static final EventLog LOG = EventLog.of(RelayLifecycle.class);
@@ -105,6 +108,7 @@
         stopping = true;
         stopStartedAtMs = clock.nowMs();
         LOG.info("SAP1303", "Planned stop was requested by a signal");
+        relay.endRequestsBy(stopStartedAtMs + graceMs - LEAVE_TIMEOUT_MS - RESPONSE_TIME_MS);
         publishReadiness(Readiness.LEAVING);
         blackboard.self().read().ifPresent(ownStopRecord::submit);
         voter.ifPresent(ControlService::transferLeadership);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /**
  * Request of a caller that was admitted, with its route, service and account.
@@ -21,8 +22,8 @@
  * @param fingerprint identifies requests of the same content
  * @param account client account of the caller, empty if no key is required and the caller sent none
  *     or an unknown one
- * @param deadlineAtMs deadline on the monotonic clock, in milliseconds: the earlier of those of the
- *     caller and the route
+ * @param deadline returns the deadline on the monotonic clock, in milliseconds: the earliest of
+ *     those of the caller, the route and a planned stop that began meanwhile
  * @param headers names of header fields
  */
 record RelayedRequest(
@@ -33,11 +34,15 @@
         PromptParts promptParts,
         RequestFingerprint fingerprint,
         Optional<String> account,
-        long deadlineAtMs,
+        LongSupplier deadline,
         RelayHeaders headers) {
 
+    long deadlineAtMs() {
+        return deadline.getAsLong();
+    }
+
     long remainingMs(MillisClock clock) {
-        return deadlineAtMs - clock.nowMs();
+        return deadlineAtMs() - clock.nowMs();
     }
 
     /** Returns the header fields for an endpoint, without those that resume a stream. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -33,6 +33,7 @@
     private final PlainRelay plainRelay;
     private final StreamRelay streamRelay;
     private final AtomicBoolean refusing = new AtomicBoolean();
+    private volatile long requestsEndAtMs = Long.MAX_VALUE;
     private final AtomicInteger openRequests = new AtomicInteger();
 
     /**
@@ -60,6 +61,17 @@
         return openRequests.get();
     }
 
+    /**
+     * Sets the time by which all requests but streams have a response, because the process ends
+     * soon after it: a caller must not lose its connection while it waits for the outcome. What was
+     * not sent to an endpoint by then is refused as not run.
+     *
+     * @param atMs time on the monotonic clock, in milliseconds
+     */
+    public void endRequestsBy(long atMs) {
+        requestsEndAtMs = atMs;
+    }
+
     /**
      * Closes expired idle connections, drops the health of endpoints that are no longer known, and
      * logs changes of the quarantine. Called about once a second, by one thread.
@@ -152,6 +164,9 @@
             Optional<RelayedAccount> account,
             OptionalLong callerTimeoutMs) {
         RelayHeaders headers = context.headers();
+        long ownDeadlineAtMs =
+                exchange.receivedAtMs()
+                        + Math.min(callerTimeoutMs.orElse(route.timeoutMs()), route.timeoutMs());
         RelayedService service =
                 plan.service(route.pickService(ThreadLocalRandom.current().nextDouble()))
                         .orElseThrow();
@@ -170,8 +185,9 @@
                         exchange.target(),
                         exchange.body()),
                 account.map(RelayedAccount::name),
-                exchange.receivedAtMs()
-                        + Math.min(callerTimeoutMs.orElse(route.timeoutMs()), route.timeoutMs()),
+                route.kind().isStream()
+                        ? () -> ownDeadlineAtMs
+                        : () -> Math.min(ownDeadlineAtMs, requestsEndAtMs),
                 headers);
     }
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MisbehavingCallerTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MisbehavingCallerTests.java
@@ -9,9 +9,11 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -32,6 +34,10 @@
     private static final CallerLimits LIMITS = new CallerLimits(16 * 1024, 1024 * 1024, 400, 800);
     private static final int OVERRUN_MS = 500;
     private static final int CALLERS = 60;
+
+    /** Far below the time that the route allows. */
+    private static final int STOPPED_REQUEST_LIMIT_MS = 3_000;
+
     private static final String PADDING = "x".repeat(8_000);
     private static final String HEAD =
             "POST /order/ HTTP/1.1\r\nHost: h\r\nSapphire-Key: k1\r\nSapphire-Request-Id: r1\r\n";
@@ -188,6 +194,35 @@
         PIPELINED_BEFORE_THE_DRAIN
     }
 
+    /**
+     * A request that an endpoint still works on at the end of a planned stop must get a response
+     * before the process ends, also one that may not be repeated. Its route allows 5 s.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"/order/", "/read/"})
+    void requestInProgressAtTheEndOfAPlannedStopGetsAResponse(String path) throws Exception {
+        CountDownLatch tested = new CountDownLatch(1);
+        try (ScriptedEndpoint endpoint =
+                        new ScriptedEndpoint("e1", "z1", (request, socket, out) -> tested.await());
+                RelayTestBed testBed = new RelayTestBed(endpoint).withTrafficPlan()) {
+            testBed.schedule(
+                    200,
+                    () -> {
+                        testBed.drain();
+                        testBed.endRequestsIn(300);
+                        return null;
+                    });
+            long startedAtNanos = System.nanoTime();
+
+            String response = testBed.call(RelayTestBed.request("POST", path, "", "body"));
+
+            assertThat(response).startsWith("HTTP/1.1 504");
+            assertThat(Duration.ofNanos(System.nanoTime() - startedAtNanos))
+                    .isLessThan(Duration.ofMillis(STOPPED_REQUEST_LIMIT_MS));
+            tested.countDown();
+        }
+    }
+
     @ParameterizedTest
     @EnumSource
     void requestAroundTheDrainOfAPlannedStopGetsAResponse(SentAt sentAt) throws Exception {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -219,6 +219,11 @@
         listener.drain();
     }
 
+    /** Sets the end of a planned stop after a delay. */
+    void endRequestsIn(long delayMs) {
+        relay.endRequestsBy(clock.nowMs() + delayMs);
+    }
+
     /** Returns the number of open connections of callers. */
     int openConnections() {
         return listener.openConnections();
