--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
@@ -116,6 +116,7 @@
     public CompletableFuture<Void> submit(String text, long timeoutMs) throws TrafficPlanException {
         TrafficPlan plan = decoder.decode(text);
         CompletableFuture<Void> done = new CompletableFuture<>();
+        // A read that fails decides nothing; the result is then that of the submission.
         reader.readRecord(RECORD_KEY, timeoutMs)
                 .thenAccept(
                         record -> {
