Relay: interfaces for endpoint filters, attempt observers, admission and urgency

Cause: the parts for heavy load (docs/hard-load.md) choose among endpoints, wait before placing and read responses; PlainRelay and RelayedStream read the endpoint table and the rate limits themselves, so each part would have to change both. Change: RelayCandidates applies filters, AttemptObserver is told heads, events and failures, RequestAdmission runs before placing, UrgencyPolicy sets the urgency header. The defaults change nothing.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -30,7 +30,8 @@
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
     private final CrashGuard crashGuard;
-    private final RateLimitObserver rateLimits;
+    private final RelayCandidates endpoints;
+    private final AttemptObserver observer;
     private final RateLimitedPlacement placement;
 
     PlainRelay(RelayComponents components) {
@@ -38,7 +39,8 @@
         this.pool = components.pool();
         this.startupWaiter = components.startupWaiter();
         this.crashGuard = components.crashGuard();
-        this.rateLimits = components.rateLimits();
+        this.endpoints = components.candidates();
+        this.observer = components.observer();
         this.placement = components.placement();
     }
 
@@ -69,7 +71,7 @@
                 return refusal.get();
             }
             List<EndpointState> candidates =
-                    startupWaiter.awaitEndpoints(request, () -> endpoints(request), false);
+                    startupWaiter.awaitEndpoints(request, () -> endpoints.of(request), false);
             Optional<EndpointState> endpoint =
                     placement.choose(RelayWorkKind.REQUEST, candidates, history.triedEndpoints);
             if (endpoint.isEmpty()) {
@@ -89,10 +91,6 @@
                 : RelayResponse.rateLimited(context.rateLimiter().retryAfterMs(candidates));
     }
 
-    private List<EndpointState> endpoints(RelayedRequest request) {
-        return context.endpoints().get().ofService(request.service().name());
-    }
-
     /** Makes one attempt; returns the final response, or empty if a retry follows. */
     private Optional<RelayResponse> attempt(
             RelayedRequest request, EndpointState endpoint, AttemptHistory history)
@@ -106,6 +104,9 @@
         } catch (UpstreamException e) {
             context.health().recordUnreachable(endpoint.id());
             long attemptMs = context.clock().nowMs() - startedAtMs;
+            if (e.mayHaveRun()) {
+                observer.onFailure(request, endpoint, startedAtMs);
+            }
             boolean reachable =
                     e.mayHaveRun() && crashGuard.recordFailure(request, endpoint, startedAtMs);
             LOG.info(
@@ -180,7 +181,7 @@
                     crashGuard.checkWait(request, endpoint.address());
                 };
         UpstreamResponseHead head = ResponseChecks.receiveHead(connection, request, check);
-        rateLimits.observe(head, request, endpoint, sentAtMs);
+        observer.onHead(head, request, endpoint, sentAtMs);
         byte[] body = connection.readBody(request.exchange().memory(), check);
         boolean notRun = ResponseChecks.isNotRun(head, request.headers());
         if (!notRun) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RateLimitObserver.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RateLimitObserver.java
@@ -8,7 +8,7 @@
 import java.util.OptionalInt;
 
 /** Reads the rate limits that endpoints name in their responses. Thread-safe. */
-final class RateLimitObserver {
+final class RateLimitObserver implements AttemptObserver {
 
     private static final EventLog LOG = EventLog.of(RateLimitObserver.class);
 
@@ -18,15 +18,9 @@
         this.limits = limits;
     }
 
-    /**
-     * Records the limit in a response, or that it names none.
-     *
-     * @param head head of a response to the request
-     * @param request request
-     * @param endpoint endpoint that sent the response
-     * @param sentAtMs time at which the request was sent, on the monotonic clock, in milliseconds
-     */
-    void observe(
+    /** Records the limit in a response, or that it names none. */
+    @Override
+    public void onHead(
             UpstreamResponseHead head,
             RelayedRequest request,
             EndpointState endpoint,
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.relay.RateLimitedPlacement;
+import java.util.List;
 
 /**
  * Components that the relays of an instance share. All are thread-safe.
@@ -9,7 +10,10 @@
  * @param pool connections to endpoints
  * @param startupWaiter lets requests wait while the instance has just started
  * @param crashGuard keeps quarantined requests away from endpoints
- * @param rateLimits reads the rate limits that endpoints name
+ * @param candidates endpoints to which a request may be sent
+ * @param observer is told what endpoints respond
+ * @param admission decides when a request may be placed
+ * @param urgency decides how urgent a stream is for its engine
  * @param placement chooses the endpoint of each attempt
  */
 record RelayComponents(
@@ -17,7 +21,10 @@
         UpstreamPool pool,
         StartupWaiter startupWaiter,
         CrashGuard crashGuard,
-        RateLimitObserver rateLimits,
+        RelayCandidates candidates,
+        AttemptObserver observer,
+        RequestAdmission admission,
+        UrgencyPolicy urgency,
         RateLimitedPlacement placement) {
 
     static RelayComponents create(
@@ -27,7 +34,10 @@
                 pool,
                 startupWaiter,
                 new CrashGuard(context, pool),
-                new RateLimitObserver(context.rateLimiter().named()),
+                new RelayCandidates(context.endpoints(), EndpointFilter.ALL),
+                AttemptObserver.all(List.of(new RateLimitObserver(context.rateLimiter().named()))),
+                RequestAdmission.IMMEDIATE,
+                UrgencyPolicy.DEFAULT,
                 new RateLimitedPlacement(context.placement(), context.rateLimiter()));
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
@@ -22,6 +22,8 @@
  *     the last part belongs to the request or its session
  * @param rateLimit requests per second that an endpoint takes from all instances together, a
  *     decimal number in its responses
+ * @param urgency urgency of a stream for its engine, from 0, the most urgent, to 9; set by this
+ *     system
  * @param reserved further fields that are dropped from the requests of callers, because only this
  *     system may set them
  */
@@ -38,6 +40,7 @@
         String resumeFrom,
         String promptParts,
         String rateLimit,
+        String urgency,
         Set<String> reserved) {
 
     /** Names of the project's own HTTP interface. */
@@ -55,6 +58,7 @@
                     "Sapphire-Resume-From",
                     "Sapphire-Prompt-Parts",
                     "Sapphire-Rate-Limit",
+                    "Sapphire-Urgency",
                     Set.of());
 
     private static final Set<String> HOP_BY_HOP =
@@ -108,6 +112,7 @@
                 && !name.equalsIgnoreCase(expectedEndpoint)
                 && !name.equalsIgnoreCase(standby)
                 && !name.equalsIgnoreCase(resumeFrom)
+                && !name.equalsIgnoreCase(urgency)
                 && !name.equalsIgnoreCase(lastEventId);
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -31,7 +31,9 @@
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
     private final CrashGuard crashGuard;
-    private final RateLimitObserver rateLimits;
+    private final RelayCandidates endpoints;
+    private final AttemptObserver observer;
+    private final UrgencyPolicy urgency;
     private final RateLimitedPlacement placement;
     private final RelayedRequest request;
     private final List<EndpointState> failed = new ArrayList<>();
@@ -54,7 +56,9 @@
         this.pool = components.pool();
         this.startupWaiter = components.startupWaiter();
         this.crashGuard = components.crashGuard();
-        this.rateLimits = components.rateLimits();
+        this.endpoints = components.candidates();
+        this.observer = components.observer();
+        this.urgency = components.urgency();
         this.placement = components.placement();
         this.request = request;
         this.lastEventId =
@@ -117,7 +121,7 @@
     private List<EventParser.Event> pollAttempt() throws ServiceException {
         if (attempt.response().isEmpty()) {
             UpstreamResponseHead head = attempt.receiveHead(this::checkWait);
-            rateLimits.observe(head, request, attempt.endpoint(), attemptStartedAtMs);
+            observer.onHead(head, request, attempt.endpoint(), attemptStartedAtMs);
             if (!head.isSuccess()) {
                 handleRefusal(head, attempt.readBody(this::checkWait));
                 return List.of();
@@ -130,6 +134,12 @@
             if (firstResponse == null) {
                 firstResponse = attempt.response().orElseThrow();
             }
+            observer.onEvents(
+                    request,
+                    attempt.endpoint(),
+                    events.size(),
+                    !attemptAnswered,
+                    context.clock().nowMs() - Math.max(waitStartedAtMs, attemptStartedAtMs));
             if (!attemptAnswered) {
                 attemptAnswered = true;
                 crashGuard.recordAnswer(request);
@@ -298,7 +308,11 @@
                 request.promptParts().shared());
         StreamAttempt.AttemptTarget target =
                 new StreamAttempt.AttemptTarget(
-                        endpoint, nextStandbyHolder, lastEventId, copyHolder.isPresent());
+                        endpoint,
+                        nextStandbyHolder,
+                        lastEventId,
+                        copyHolder.isPresent(),
+                        urgency.urgency(request, firstResponse != null));
         try {
             attempt = StreamAttempt.send(context, request, connection, target);
         } catch (UpstreamException e) {
@@ -323,8 +337,7 @@
     }
 
     private List<EndpointState> candidates() throws CallerDisconnectedException {
-        Supplier<List<EndpointState>> known =
-                () -> context.endpoints().get().ofService(request.service().name());
+        Supplier<List<EndpointState>> known = () -> endpoints.of(request);
         return attemptCount == 0 ? startupWaiter.awaitEndpoints(request, known, true) : known.get();
     }
 
@@ -366,6 +379,7 @@
                         || crashGuard.recordFailure(
                                 request, attempt.endpoint(), attemptStartedAtMs);
         markFailed(attempt.endpoint());
+        observer.onFailure(request, attempt.endpoint(), attemptStartedAtMs);
         LOG.info(
                 "SAP1915",
                 "A stream attempt failed",
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /** One attempt of a streamed request at one endpoint. Used by one thread. */
@@ -56,12 +57,14 @@
      * @param standby endpoint that keeps a standby copy, if any
      * @param lastEventId identifier of the last event that the caller has, if any
      * @param fromCopy whether the endpoint continues from the standby copy that it holds
+     * @param urgency urgency for the engine, from 0, the most urgent, to 9; empty for its default
      */
     record AttemptTarget(
             EndpointState endpoint,
             Optional<EndpointState> standby,
             OptionalLong lastEventId,
-            boolean fromCopy) {}
+            boolean fromCopy,
+            OptionalInt urgency) {}
 
     static StreamAttempt send(
             RelayContext context,
@@ -88,6 +91,8 @@
                 .ifPresent(
                         id -> fields.add(new HeaderField(names.lastEventId(), Long.toString(id))));
         target.standby().ifPresent(e -> fields.add(new HeaderField(names.standby(), e.address())));
+        target.urgency()
+                .ifPresent(u -> fields.add(new HeaderField(names.urgency(), Integer.toString(u))));
         if (target.fromCopy()) {
             fields.add(
                     new HeaderField(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -32,6 +32,7 @@
     private final CrashGuard crashGuard;
     private final PlainRelay plainRelay;
     private final StreamRelay streamRelay;
+    private final RequestAdmission admission;
     private final AtomicBoolean refusing = new AtomicBoolean();
     private volatile long requestsEndAtMs = Long.MAX_VALUE;
     private final AtomicInteger openRequests = new AtomicInteger();
@@ -49,6 +50,7 @@
         this.crashGuard = components.crashGuard();
         this.plainRelay = new PlainRelay(components);
         this.streamRelay = new StreamRelay(components);
+        this.admission = components.admission();
     }
 
     /** Refuses all further requests with a response that says that they did not run. */
@@ -192,16 +194,14 @@
     }
 
     private void relay(RelayedRequest request) throws IOException {
-        try {
+        try (RequestAdmission.Admission admitted = admission.admit(request)) {
             if (request.route().kind().isStream()) {
                 streamRelay.relay(request);
             } else {
-                RelayResponse response = plainRelay.relay(request);
-                if (!response.reason().isEmpty()) {
-                    logGeneratedResponse(request, response);
-                }
-                send(request.exchange(), response);
+                sendPlainResponse(request, plainRelay.relay(request));
             }
+        } catch (RelayFailedException e) {
+            sendPlainResponse(request, e.response());
         } catch (CallerDisconnectedException e) {
             LOG.info(
                     "SAP1917",
@@ -212,6 +212,14 @@
         }
     }
 
+    private void sendPlainResponse(RelayedRequest request, RelayResponse response)
+            throws IOException {
+        if (!response.reason().isEmpty()) {
+            logGeneratedResponse(request, response);
+        }
+        send(request.exchange(), response);
+    }
+
     private void logGeneratedResponse(RelayedRequest request, RelayResponse response) {
         LOG.info(
                 "SAP1918",
--- /dev/null
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UrgencyPolicy.java
@@ -0,0 +1,20 @@
+package io.sapphirestack.runtime.relay;
+
+import java.util.OptionalInt;
+
+/** Decides how urgent an attempt of a stream is for its engine. Thread-safe. */
+@FunctionalInterface
+interface UrgencyPolicy {
+
+    /** Leaves the urgency to the default of the engine. */
+    UrgencyPolicy DEFAULT = (request, begun) -> OptionalInt.empty();
+
+    /**
+     * Returns the urgency of the next attempt of a stream.
+     *
+     * @param request request
+     * @param begun whether the caller has received an event
+     * @return urgency from 0, the most urgent, to 9; empty for the default of the engine
+     */
+    OptionalInt urgency(RelayedRequest request, boolean begun);
+}
