Streams: replace a standby copy whose holder is lost by a copy on order

Cause: the engine sends the first standby copy by itself; nobody replaced it when its holder crashed with another zone. Change: StreamStandby notices a lost holder and orders a copy at another endpoint, renews it and releases it at the end; a stream without a live copy no longer moves because of silence; before the first event no copy is asked for.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -45,6 +45,7 @@
 import io.sapphirestack.runtime.error.ServiceException;
 import io.sapphirestack.runtime.metrics.EventLog;
 import io.sapphirestack.runtime.metrics.Metrics;
+import io.sapphirestack.runtime.relay.CopyOrderNames;
 import io.sapphirestack.runtime.relay.RelayContext;
 import io.sapphirestack.runtime.relay.RelayHeaders;
 import io.sapphirestack.runtime.relay.RelayListener;
@@ -129,6 +130,7 @@
      * @param settings validated settings
      * @param listener listener on the peer address; this object closes it
      * @param headers names of the HTTP header fields
+     * @param copyOrders names in the orders for standby copies
      * @param decoder parses traffic plans
      * @throws ServiceException if the caller address cannot be bound
      */
@@ -136,6 +138,7 @@
             RelaySettings settings,
             PeerListener listener,
             RelayHeaders headers,
+            CopyOrderNames copyOrders,
             TrafficPlanStore.Decoder decoder)
             throws ServiceException {
         this.settings = Objects.requireNonNull(settings, "settings");
@@ -169,7 +172,7 @@
         this.dissemination = createDissemination();
         this.trafficPlans =
                 new TrafficPlanStore(control, control, blackboard.control()::read, decoder);
-        this.relay = new TrafficRelay(createRelayContext(headers));
+        this.relay = new TrafficRelay(createRelayContext(headers, copyOrders));
         this.callerListener =
                 new RelayListener(
                         "caller",
@@ -247,10 +250,11 @@
         return service;
     }
 
-    private RelayContext createRelayContext(RelayHeaders headers) {
+    private RelayContext createRelayContext(RelayHeaders headers, CopyOrderNames copyOrders) {
         EndpointHealth health = new EndpointHealth(clock);
         return new RelayContext(
                 headers,
+                copyOrders,
                 trafficPlans::current,
                 blackboard.endpoints()::read,
                 new RelayPlacement(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -2,6 +2,7 @@
 
 import io.sapphirestack.core.relay.RateLimitedPlacement;
 import java.util.List;
+import java.util.concurrent.Executor;
 
 /**
  * Components that the relays of an instance share. All are thread-safe.
@@ -13,6 +14,7 @@
  * @param candidates endpoints to which a request may be sent
  * @param observer is told what endpoints respond
  * @param admission decides when a request may be placed
+ * @param standby what the standby copies of all streams share
  * @param urgency decides how urgent a stream is for its engine
  * @param placement chooses the endpoint of each attempt
  */
@@ -24,19 +26,26 @@
         RelayCandidates candidates,
         AttemptObserver observer,
         RequestAdmission admission,
+        StandbyServices standby,
         UrgencyPolicy urgency,
         RateLimitedPlacement placement) {
 
     static RelayComponents create(
-            RelayContext context, UpstreamPool pool, StartupWaiter startupWaiter) {
+            RelayContext context,
+            UpstreamPool pool,
+            StartupWaiter startupWaiter,
+            Executor copyOrders) {
+        RelayCandidates candidates = new RelayCandidates(context.endpoints(), EndpointFilter.ALL);
         return new RelayComponents(
                 context,
                 pool,
                 startupWaiter,
                 new CrashGuard(context, pool),
-                new RelayCandidates(context.endpoints(), EndpointFilter.ALL),
+                candidates,
                 AttemptObserver.all(List.of(new RateLimitObserver(context.rateLimiter().named()))),
                 RequestAdmission.IMMEDIATE,
+                new StandbyServices(
+                        candidates, pool, new CopyOrderClient(context.copyOrders()), copyOrders),
                 UrgencyPolicy.DEFAULT,
                 new RateLimitedPlacement(context.placement(), context.rateLimiter()));
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -20,6 +20,7 @@
  * Collaborators of {@link TrafficRelay} that the instance provides.
  *
  * @param headers names of header fields
+ * @param copyOrders names in the orders for standby copies
  * @param plan returns the current traffic plan, empty until the first one is known
  * @param endpoints returns the known endpoints
  * @param placement chooses the endpoint of each attempt
@@ -35,6 +36,7 @@
  */
 public record RelayContext(
         RelayHeaders headers,
+        CopyOrderNames copyOrders,
         Supplier<Optional<TrafficPlan>> plan,
         Supplier<EndpointTable> endpoints,
         RelayPlacement placement,
@@ -51,6 +53,7 @@
     /** Requires all components to be non-null. */
     public RelayContext {
         Objects.requireNonNull(headers, "headers");
+        Objects.requireNonNull(copyOrders, "copyOrders");
         Objects.requireNonNull(plan, "plan");
         Objects.requireNonNull(endpoints, "endpoints");
         Objects.requireNonNull(placement, "placement");
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -27,6 +27,7 @@
     /** Failed connection attempts that a stream tolerates; one more ends it. */
     private static final int MAX_CONNECT_FAILURES = 12;
 
+    private final RelayComponents components;
     private final RelayContext context;
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
@@ -39,7 +40,8 @@
     private final List<EndpointState> failed = new ArrayList<>();
     private StreamAttempt attempt;
     private UpstreamResponseHead firstResponse;
-    private Optional<EndpointState> standbyHolder = Optional.empty();
+    private StreamStandby standby;
+    private Optional<StreamStandby.Copy> copy = Optional.empty();
     private OptionalLong lastEventId;
     private Optional<RelayResponse> lastResponse = Optional.empty();
     private int attemptCount;
@@ -52,6 +54,7 @@
     private long callerCheckedAtMs;
 
     RelayedStream(RelayComponents components, RelayedRequest request) {
+        this.components = components;
         this.context = components.context();
         this.pool = components.pool();
         this.startupWaiter = components.startupWaiter();
@@ -87,7 +90,7 @@
         long gapTargetMs = request.route().gapTargetMs();
         StreamAttempt.AttemptTarget target = attempt.target();
         if (attempt.hasReceivedEvent()) {
-            return StreamTimeouts.betweenEvents(gapTargetMs, target.standby().isPresent());
+            return StreamTimeouts.betweenEvents(gapTargetMs, standby.isLive());
         }
         return firstResponse == null && !target.fromCopy()
                 ? StreamTimeouts.beforeFirstEvent()
@@ -230,6 +233,9 @@
             callerCheckedAtMs = nowMs;
             request.checkActive(context.clock(), peer);
         }
+        if (attempt.hasReceivedEvent()) {
+            standby.maintain();
+        }
         StreamTimeouts timeouts = timeouts();
         long eventGapMs = nowMs - Math.max(waitStartedAtMs, attemptStartedAtMs);
         if (eventGapMs >= timeouts.moveAfterMs() && isRetryAllowed()) {
@@ -263,10 +269,9 @@
             throw streamFailed("local");
         }
         List<EndpointState> candidates = candidates();
-        Optional<EndpointState> copyHolder =
-                standbyHolder.flatMap(
-                        holder -> candidates.stream().filter(holder::isSameProcess).findFirst());
-        standbyHolder = Optional.empty();
+        Optional<StreamStandby.Copy> usedCopy = copy;
+        copy = Optional.empty();
+        Optional<EndpointState> copyHolder = usedCopy.map(StreamStandby.Copy::holder);
         copyHolder.ifPresent(context.rateLimiter()::acquire);
         EndpointState endpoint =
                 copyHolder
@@ -311,11 +316,13 @@
                         endpoint,
                         nextStandbyHolder,
                         lastEventId,
-                        copyHolder.isPresent(),
+                        usedCopy.map(StreamStandby.Copy::reference),
                         urgency.urgency(request, firstResponse != null));
+        standby = new StreamStandby(components, request, endpoint, nextStandbyHolder, failed);
         try {
             attempt = StreamAttempt.send(context, request, connection, target);
         } catch (UpstreamException e) {
+            standby.end(false);
             markFailed(endpoint);
             throw e;
         }
@@ -403,7 +410,9 @@
                 request.promptParts().shared(),
                 "cause",
                 failure.getMessage());
-        standbyHolder = attempt.target().standby();
+        // No copy exists before the first event: the state of a request is copied once it runs.
+        copy = attempt.hasReceivedEvent() ? standby.copy() : Optional.empty();
+        standby.end(false);
         moved = true;
         lastResponse =
                 Optional.of(
@@ -432,6 +441,7 @@
         if (!isCopyMissing) {
             failed.add(endpoint);
         }
+        standby.end(false);
         attempt.release(pool);
         attempt = null;
         if (!notRun) {
@@ -457,6 +467,7 @@
         if (attempt == null) {
             return;
         }
+        standby.end(attempt.isComplete());
         if (attempt.isComplete()) {
             attempt.release(pool);
         } else {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamAttempt.java
@@ -21,7 +21,6 @@
     private final UpstreamConnection connection;
     private final AttemptTarget target;
     private DispatchPermit permit;
-    private final Optional<DispatchPermit> standbyPermit;
     private final EventParser parser;
     private final byte[] buffer = new byte[BUFFER_BYTES];
     private UpstreamResponseHead response;
@@ -43,7 +42,6 @@
                 begin(
                         target.endpoint(),
                         target.fromCopy() ? RelayWorkKind.REQUEST : RelayWorkKind.PROMPT);
-        this.standbyPermit = target.standby().map(e -> begin(e, RelayWorkKind.COPY));
     }
 
     private DispatchPermit begin(EndpointState endpoint, RelayWorkKind kind) {
@@ -56,15 +54,21 @@
      * @param endpoint endpoint that the request is sent to
      * @param standby endpoint that keeps a standby copy, if any
      * @param lastEventId identifier of the last event that the caller has, if any
-     * @param fromCopy whether the endpoint continues from the standby copy that it holds
+     * @param copyReference names the standby copy from which the endpoint continues, if any
      * @param urgency urgency for the engine, from 0, the most urgent, to 9; empty for its default
      */
     record AttemptTarget(
             EndpointState endpoint,
             Optional<EndpointState> standby,
             OptionalLong lastEventId,
-            boolean fromCopy,
-            OptionalInt urgency) {}
+            Optional<String> copyReference,
+            OptionalInt urgency) {
+
+        /** Returns whether the endpoint continues from the standby copy that it holds. */
+        boolean fromCopy() {
+            return copyReference.isPresent();
+        }
+    }
 
     static StreamAttempt send(
             RelayContext context,
@@ -93,11 +97,8 @@
         target.standby().ifPresent(e -> fields.add(new HeaderField(names.standby(), e.address())));
         target.urgency()
                 .ifPresent(u -> fields.add(new HeaderField(names.urgency(), Integer.toString(u))));
-        if (target.fromCopy()) {
-            fields.add(
-                    new HeaderField(
-                            names.resumeFrom(), target.endpoint().address() + "/" + request.id()));
-        }
+        target.copyReference()
+                .ifPresent(copy -> fields.add(new HeaderField(names.resumeFrom(), copy)));
         return fields;
     }
 
@@ -186,6 +187,5 @@
 
     private void closePermits() {
         permit.close();
-        standbyPermit.ifPresent(DispatchPermit::close);
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -6,12 +6,14 @@
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.relay.TrafficRoute;
+import io.sapphirestack.runtime.concurrent.WorkerPools;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.IOException;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -26,8 +28,12 @@
     /** Retry-After of an instance that has no traffic plan yet or is stopping, in milliseconds. */
     private static final long NOT_SERVING_RETRY_AFTER_MS = 400;
 
+    /** Maximum number of orders for standby copies that run at the same time. */
+    private static final int MAX_COPY_ORDERS = 8;
+
     private final RelayContext context;
     private final UpstreamPool pool;
+    private final ThreadPoolExecutor copyOrders;
     private final StartupWaiter startupWaiter;
     private final CrashGuard crashGuard;
     private final PlainRelay plainRelay;
@@ -46,7 +52,9 @@
         this.context = Objects.requireNonNull(context, "context");
         this.pool = new UpstreamPool(context.responseLimits(), context.clock());
         this.startupWaiter = new StartupWaiter(context.clock(), refusing::get);
-        RelayComponents components = RelayComponents.create(context, pool, startupWaiter);
+        this.copyOrders = WorkerPools.createRejecting("copy-order", MAX_COPY_ORDERS);
+        RelayComponents components =
+                RelayComponents.create(context, pool, startupWaiter, copyOrders);
         this.crashGuard = components.crashGuard();
         this.plainRelay = new PlainRelay(components);
         this.streamRelay = new StreamRelay(components);
@@ -243,6 +251,7 @@
 
     @Override
     public void close() {
+        copyOrders.shutdownNow();
         crashGuard.close();
         pool.close();
     }
