Streams tell engines their urgency where routes of a service differ

Cause: an engine that is short of memory or slots served the streams of all routes alike, so a stream of high priority waited behind others, and a stream that had started waited behind new ones after the loss of its engine. Change: StreamUrgency computes 0 to 9 from priority, whether the stream has started, and whether it can still meet its target latency (shortest recent time to a first event). Two levels per priority, three groups of priorities, late new streams last. New streams of one priority have one level, so none preempts a running one of its priority. Set only if the stream routes of the service differ in priority or target latency.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
@@ -17,6 +17,7 @@
     private final CallerLimits limits;
     private final Map<String, RelayedService> services;
     private final Map<String, List<TrafficRoute>> routesByHost;
+    private final Map<String, List<TrafficRoute>> routesByService;
     private final Map<String, RelayedAccount> accountsByKey;
     private final boolean hasAccounts;
 
@@ -42,6 +43,7 @@
         this.limits = limits;
         this.services = indexServices(services);
         this.routesByHost = indexRoutes(routes);
+        this.routesByService = indexByService(routes);
         this.accountsByKey = indexAccounts(accounts);
         this.hasAccounts = !accounts.isEmpty();
     }
@@ -84,6 +86,16 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Returns the routes that send requests to a service.
+     *
+     * @param service name of the service
+     * @return routes with a positive weight for the service, possibly none
+     */
+    public List<TrafficRoute> routesTo(String service) {
+        return routesByService.getOrDefault(service, List.of());
+    }
+
     /** Returns whether requests need a key on routes that are not open. */
     public boolean needsKeys() {
         return hasAccounts;
@@ -137,6 +149,19 @@
         return Map.copyOf(index);
     }
 
+    private static Map<String, List<TrafficRoute>> indexByService(List<TrafficRoute> routes) {
+        Map<String, List<TrafficRoute>> index = new HashMap<>();
+        for (TrafficRoute route : routes) {
+            route.targets().stream()
+                    .filter(target -> target.weight() > 0)
+                    .map(TrafficRoute.Target::service)
+                    .distinct()
+                    .forEach(s -> index.computeIfAbsent(s, key -> new ArrayList<>()).add(route));
+        }
+        index.replaceAll((service, list) -> List.copyOf(list));
+        return Map.copyOf(index);
+    }
+
     private void checkRoute(TrafficRoute route) throws TrafficPlanException {
         String messagePrefix = "route " + route.name() + ": ";
         check(
--- /dev/null
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/admission/StreamUrgencyTests.java
@@ -0,0 +1,123 @@
+package io.sapphirestack.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sapphirestack.core.relay.CallerLimits;
+import io.sapphirestack.core.relay.RelayedService;
+import io.sapphirestack.core.relay.RequestKind;
+import io.sapphirestack.core.relay.TrafficPlan;
+import io.sapphirestack.core.relay.TrafficPlanException;
+import io.sapphirestack.core.relay.TrafficRoute;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against streams that preempt others of the same priority, and against an urgency where all
+ * streams of a service are alike.
+ */
+class StreamUrgencyTests {
+
+    private static final String SERVICE = "scribe";
+    private static final long TARGET_MS = 4_000;
+
+    private static TrafficRoute route(
+            String service, RequestKind kind, int priority, long targetMs) {
+        String name = service + "-" + kind + "-" + priority + "-" + targetMs;
+        return new TrafficRoute(
+                name,
+                "h",
+                "/" + name + "/",
+                kind,
+                25_000,
+                targetMs,
+                700,
+                priority,
+                2,
+                true,
+                List.of(new TrafficRoute.Target(service, 1)));
+    }
+
+    private static TrafficRoute stream(int priority, long targetMs) {
+        return route(SERVICE, RequestKind.RESUMABLE_STREAM, priority, targetMs);
+    }
+
+    private static TrafficPlan plan(List<TrafficRoute> routes) throws TrafficPlanException {
+        List<RelayedService> services =
+                List.of(new RelayedService(SERVICE, true), new RelayedService("other", false));
+        return new TrafficPlan(1, routes, services, List.of(), CallerLimits.DEFAULT);
+    }
+
+    private static OptionalInt urgency(
+            List<TrafficRoute> routes, int index, long ageMs, boolean started)
+            throws TrafficPlanException {
+        StreamUrgency.Attempt attempt =
+                new StreamUrgency.Attempt(routes.get(index), ageMs, 1_000, started);
+        return StreamUrgency.of(plan(routes), SERVICE, attempt);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // index of the route, age in ms, started, urgency
+        "0, 0, true, 0", "0, 0, false, 1", "0, 2999, false, 1", "0, 3001, false, 7",
+        "0, 9000, true, 0", "1, 0, true, 2", "1, 0, false, 3", "1, 3001, false, 8",
+        "2, 0, true, 4", "2, 0, false, 5", "2, 3001, false, 9",
+    })
+    void startedStreamsPrecedeNewOnesOfTheirPriorityAndLateOnesComeLast(
+            int index, long ageMs, boolean started, int expected) throws TrafficPlanException {
+        List<TrafficRoute> routes =
+                List.of(stream(0, TARGET_MS), stream(2, TARGET_MS), stream(5, TARGET_MS));
+        assertThat(urgency(routes, index, ageMs, started)).hasValue(expected);
+    }
+
+    @Test
+    void routesThatDifferOnlyInTargetLatencyDoNotPreemptOneAnother() throws TrafficPlanException {
+        List<TrafficRoute> routes = List.of(stream(1, TARGET_MS), stream(1, 10_000));
+        assertThat(urgency(routes, 0, 0, false)).hasValue(1);
+        assertThat(urgency(routes, 1, 0, false)).hasValue(1);
+        assertThat(urgency(routes, 0, 3_500, false)).hasValue(7);
+        assertThat(urgency(routes, 1, 3_500, false)).hasValue(1);
+    }
+
+    @Test
+    void urgencyIsAbsentWhereStreamsOfTheServiceAreAlike() throws TrafficPlanException {
+        List<TrafficRoute> routes =
+                List.of(
+                        stream(1, TARGET_MS),
+                        route(SERVICE, RequestKind.IDEMPOTENT, 0, 200),
+                        route("other", RequestKind.RESUMABLE_STREAM, 0, TARGET_MS));
+        assertThat(urgency(routes, 0, 9_000, false)).isEmpty();
+    }
+
+    @Test
+    void morePrioritiesThanGroupsKeepTheirOrder() throws TrafficPlanException {
+        List<TrafficRoute> routes = new ArrayList<>();
+        for (int priority = 0; priority < 7; priority++) {
+            routes.add(stream(priority, TARGET_MS));
+        }
+        List<Integer> urgencies = new ArrayList<>();
+        for (int i = 0; i < routes.size(); i++) {
+            urgencies.add(urgency(routes, i, 0, false).orElseThrow());
+        }
+        assertThat(urgencies).containsExactly(1, 1, 1, 3, 3, 5, 5);
+    }
+
+    @Test
+    void shortestTimeForgetsOldObservations() {
+        long[] nowMs = {0};
+        ServiceTimes times = new ServiceTimes(() -> nowMs[0]);
+        assertThat(times.shortestMs("r")).isEmpty();
+        times.record("r", 100);
+        nowMs[0] += ServiceTimes.WINDOW_MS;
+        times.record("r", 200);
+        assertThat(times.shortestMs("r")).hasValue(100);
+        nowMs[0] += ServiceTimes.WINDOW_MS;
+        assertThat(times.shortestMs("r")).hasValue(200);
+        nowMs[0] += 2 * ServiceTimes.WINDOW_MS;
+        assertThat(times.shortestMs("r")).isEmpty();
+        assertThat(times.meanMs("r")).hasValue(105);
+    }
+}
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/Metrics.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/Metrics.java
@@ -37,6 +37,8 @@
             counter("sapphire_delivered_tokens", "Tokens written to callers.");
     private final Counter attempts =
             counter("sapphire_attempts", "Attempts started on engines.", "reason");
+    private final Counter urgencies =
+            counter("sapphire_stream_urgency", "Stream attempts by urgency.", "urgency");
     private final Counter reattachments =
             counter("sapphire_reattachments", "Running streams attached again.", "takeover");
     private final Counter recomputedTokens =
@@ -142,6 +144,15 @@
         attempts.labelValues(reason).inc();
     }
 
+    /**
+     * Counts a stream attempt that tells its engine an urgency.
+     *
+     * @param urgency urgency from 0, the most urgent, to 9
+     */
+    public void recordUrgency(int urgency) {
+        urgencies.labelValues(Integer.toString(urgency)).inc();
+    }
+
     /**
      * Counts a re-attachment to a running stream.
      *
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -29,15 +29,17 @@
 
     static RelayComponents create(
             RelayContext context, UpstreamPool pool, StartupWaiter startupWaiter) {
+        StreamUrgencyPolicy urgency = new StreamUrgencyPolicy(context);
         return new RelayComponents(
                 context,
                 pool,
                 startupWaiter,
                 new CrashGuard(context, pool),
                 new RelayCandidates(context.endpoints(), EndpointFilter.ALL),
-                AttemptObserver.all(List.of(new RateLimitObserver(context.rateLimiter().named()))),
+                AttemptObserver.all(
+                        List.of(new RateLimitObserver(context.rateLimiter().named()), urgency)),
                 RequestAdmission.IMMEDIATE,
-                UrgencyPolicy.DEFAULT,
+                urgency,
                 new RateLimitedPlacement(context.placement(), context.rateLimiter()));
     }
 }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -117,14 +117,19 @@
      * (not idempotent) and /stream/ (resumable stream).
      */
     RelayTestBed withTrafficPlan() throws TrafficPlanException {
+        return withRoutes(
+                route("/read/", RequestKind.IDEMPOTENT, 1, 2),
+                route("/order/", RequestKind.NON_IDEMPOTENT, 1, 2),
+                route("/stream/", RequestKind.RESUMABLE_STREAM, 1, 4));
+    }
+
+    /** Sets a traffic plan. */
+    RelayTestBed withRoutes(TrafficRoute... routes) throws TrafficPlanException {
         plan.set(
                 Optional.of(
                         new TrafficPlan(
                                 1,
-                                List.of(
-                                        route("/read/", RequestKind.IDEMPOTENT, 2),
-                                        route("/order/", RequestKind.NON_IDEMPOTENT, 2),
-                                        route("/stream/", RequestKind.RESUMABLE_STREAM, 4)),
+                                List.of(routes),
                                 List.of(new RelayedService("scribe", true)),
                                 List.of(new RelayedAccount("shop", List.of("k1"))),
                                 CallerLimits.DEFAULT)));
@@ -148,7 +153,7 @@
         return this;
     }
 
-    private static TrafficRoute route(String prefix, RequestKind kind, int maxAttempts) {
+    static TrafficRoute route(String prefix, RequestKind kind, int priority, int maxAttempts) {
         return new TrafficRoute(
                 prefix,
                 "h",
@@ -157,7 +162,7 @@
                 5_000,
                 1_000,
                 700,
-                1,
+                priority,
                 maxAttempts,
                 false,
                 List.of(new TrafficRoute.Target("scribe", 1)));
