--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -36,17 +36,19 @@
             StartupWaiter startupWaiter,
             Executor copyOrders) {
         RelayCandidates candidates = new RelayCandidates(context.endpoints(), EndpointFilter.ALL);
+        StreamUrgencyPolicy urgency = new StreamUrgencyPolicy(context);
         return new RelayComponents(
                 context,
                 pool,
                 startupWaiter,
                 new CrashGuard(context, pool),
                 candidates,
-                AttemptObserver.all(List.of(new RateLimitObserver(context.rateLimiter().named()))),
+                AttemptObserver.all(
+                        List.of(new RateLimitObserver(context.rateLimiter().named()), urgency)),
                 RequestAdmission.IMMEDIATE,
                 new StandbyServices(
                         candidates, pool, new CopyOrderClient(context.copyOrders()), copyOrders),
-                UrgencyPolicy.DEFAULT,
+                urgency,
                 new RateLimitedPlacement(context.placement(), context.rateLimiter()));
     }
 }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -123,14 +123,25 @@
 
     /** Sets the same traffic plan with another definition of its service. */
     RelayTestBed withTrafficPlan(RelayedService service) throws TrafficPlanException {
+        return withRoutes(
+                service,
+                route("/read/", RequestKind.IDEMPOTENT, 1, 2),
+                route("/order/", RequestKind.NON_IDEMPOTENT, 1, 2),
+                route("/stream/", RequestKind.RESUMABLE_STREAM, 1, 4));
+    }
+
+    /** Sets a traffic plan with other routes. */
+    RelayTestBed withRoutes(TrafficRoute... routes) throws TrafficPlanException {
+        return withRoutes(new RelayedService("scribe", true), routes);
+    }
+
+    private RelayTestBed withRoutes(RelayedService service, TrafficRoute... routes)
+            throws TrafficPlanException {
         plan.set(
                 Optional.of(
                         new TrafficPlan(
                                 1,
-                                List.of(
-                                        route("/read/", RequestKind.IDEMPOTENT, 2),
-                                        route("/order/", RequestKind.NON_IDEMPOTENT, 2),
-                                        route("/stream/", RequestKind.RESUMABLE_STREAM, 4)),
+                                List.of(routes),
                                 List.of(service),
                                 List.of(new RelayedAccount("shop", List.of("k1"))),
                                 CallerLimits.DEFAULT)));
@@ -154,7 +165,7 @@
         return this;
     }
 
-    private static TrafficRoute route(String prefix, RequestKind kind, int maxAttempts) {
+    static TrafficRoute route(String prefix, RequestKind kind, int priority, int maxAttempts) {
         return new TrafficRoute(
                 prefix,
                 "h",
@@ -163,7 +174,7 @@
                 5_000,
                 1_000,
                 700,
-                1,
+                priority,
                 maxAttempts,
                 false,
                 List.of(new TrafficRoute.Target("scribe", 1)));
