Full plain services refuse requests that would be late

Cause: near and above the capacity of a plain service, its endpoints work in the order of arrival; each request waits past its target latency, and callers that return make the wait longer. Change: PlainAdmission sends a request if it will meet its target by the reported load, or if a slot is free, and refuses it as not executed otherwise; 5% of the late ones are sent nevertheless. Retry-After from the backlog, with jitter, at most a third of the time left. Nothing is refused if an endpoint of the service has no report of the last second. The age of a returning caller is inferred from its deadline. Settings object admission; event SAP1946; counter sapphire_admissions. Loads come from ReportedLoad.Source, which is NONE until the table of endpoint signals is connected, so nothing is refused yet.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/admission/ServiceTimes.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/admission/ServiceTimes.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Times that the requests of each route recently took at endpoints, as measured by this instance.
- * Addresses load whose work per request changes within minutes. The number of routes is bounded by
- * the traffic plan. Thread-safe.
+ * Recent times of the requests of each route, as observed by this instance. Addresses load whose
+ * work per request changes within minutes. The number of routes is bounded by the traffic plan.
+ * Thread-safe.
  */
 public final class ServiceTimes {
 
@@ -38,6 +38,8 @@
         private long windowStartedAtMs;
         private long shortestMs = Long.MAX_VALUE;
         private long previousShortestMs = Long.MAX_VALUE;
+        private long longestMs = Long.MIN_VALUE;
+        private long previousLongestMs = Long.MIN_VALUE;
 
         private void advance(long nowMs) {
             if (nowMs - windowStartedAtMs < WINDOW_MS) {
@@ -46,6 +48,8 @@
             boolean adjacent = nowMs - windowStartedAtMs < 2 * WINDOW_MS;
             previousShortestMs = adjacent ? shortestMs : Long.MAX_VALUE;
             shortestMs = Long.MAX_VALUE;
+            previousLongestMs = adjacent ? longestMs : Long.MIN_VALUE;
+            longestMs = Long.MIN_VALUE;
             windowStartedAtMs = nowMs;
         }
     }
@@ -54,14 +58,14 @@
      * Records one observation.
      *
      * @param route name of the route
-     * @param timeMs time from the send to the response or the first event, in milliseconds, not
-     *     negative
+     * @param timeMs observed time, in milliseconds, not negative
      */
     public void record(String route, long timeMs) {
         Times times = byRoute.computeIfAbsent(route, key -> new Times());
         synchronized (times) {
             times.advance(clock.nowMs());
             times.shortestMs = Math.min(times.shortestMs, timeMs);
+            times.longestMs = Math.max(times.longestMs, timeMs);
             times.meanMs =
                     Double.isNaN(times.meanMs)
                             ? timeMs
@@ -89,6 +93,24 @@
         }
     }
 
+    /**
+     * Returns the longest time of the last 10 to 20 s.
+     *
+     * @param route name of the route
+     * @return time in milliseconds, empty without a recent observation
+     */
+    public OptionalLong longestMs(String route) {
+        Times times = byRoute.get(route);
+        if (times == null) {
+            return OptionalLong.empty();
+        }
+        synchronized (times) {
+            times.advance(clock.nowMs());
+            long longestMs = Math.max(times.longestMs, times.previousLongestMs);
+            return longestMs == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(longestMs);
+        }
+    }
+
     /**
      * Returns the exponentially weighted mean time.
      *
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.daemon.relay;
 
+import io.sapphirestack.core.admission.ReportedLoad;
 import io.sapphirestack.core.blackboard.Readiness;
 import io.sapphirestack.core.control.ControlView;
 import io.sapphirestack.core.control.InstanceInfo;
@@ -270,6 +271,8 @@
                         retryBudget::requestShare,
                         () -> ThreadLocalRandom.current().nextDouble(),
                         clock),
+                ReportedLoad.Source.NONE,
+                settings.admission(),
                 settings.messages().responseLimits(),
                 metrics,
                 clock);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/Metrics.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/Metrics.java
@@ -39,6 +39,11 @@
             counter("sapphire_attempts", "Attempts started on engines.", "reason");
     private final Counter urgencies =
             counter("sapphire_stream_urgency", "Stream attempts by urgency.", "urgency");
+    private final Counter admissions =
+            counter(
+                    "sapphire_admissions",
+                    "Decisions about plain requests of services that report their load.",
+                    "decision");
     private final Counter reattachments =
             counter("sapphire_reattachments", "Running streams attached again.", "takeover");
     private final Counter recomputedTokens =
@@ -153,6 +158,15 @@
         urgencies.labelValues(Integer.toString(urgency)).inc();
     }
 
+    /**
+     * Counts a decision about a plain request of a service whose endpoints report their load.
+     *
+     * @param decision decision, as a label value
+     */
+    public void recordAdmission(String decision) {
+        admissions.labelValues(decision).inc();
+    }
+
     /**
      * Counts a re-attachment to a running stream.
      *
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -29,16 +29,21 @@
 
     static RelayComponents create(
             RelayContext context, UpstreamPool pool, StartupWaiter startupWaiter) {
+        RelayCandidates candidates = new RelayCandidates(context.endpoints(), EndpointFilter.ALL);
+        PlainRequestAdmission admission = new PlainRequestAdmission(context, candidates);
         StreamUrgencyPolicy urgency = new StreamUrgencyPolicy(context);
         return new RelayComponents(
                 context,
                 pool,
                 startupWaiter,
                 new CrashGuard(context, pool),
-                new RelayCandidates(context.endpoints(), EndpointFilter.ALL),
+                candidates,
                 AttemptObserver.all(
-                        List.of(new RateLimitObserver(context.rateLimiter().named()), urgency)),
-                RequestAdmission.IMMEDIATE,
+                        List.of(
+                                new RateLimitObserver(context.rateLimiter().named()),
+                                urgency,
+                                admission)),
+                admission,
                 urgency,
                 new RateLimitedPlacement(context.placement(), context.rateLimiter()));
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -1,5 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.admission.AdmissionSettings;
+import io.sapphirestack.core.admission.ReportedLoad;
 import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.relay.EndpointHealth;
@@ -29,6 +31,8 @@
  * @param quarantine prompts that must not be sent to engines
  * @param requestQuarantine requests that must not be sent to endpoints
  * @param rateLimiter keeps the requests to endpoints within the limits that they name
+ * @param loads returns the loads that endpoints report
+ * @param admission settings of the admission of plain requests
  * @param responseLimits limits on the responses of endpoints
  * @param metrics metrics of requests, attempts and resumed streams
  * @param clock monotonic clock
@@ -44,6 +48,8 @@
         PromptQuarantine quarantine,
         RequestQuarantine requestQuarantine,
         EndpointRateLimiter rateLimiter,
+        ReportedLoad.Source loads,
+        AdmissionSettings admission,
         ResponseLimits responseLimits,
         Metrics metrics,
         MillisClock clock) {
@@ -60,6 +66,8 @@
         Objects.requireNonNull(quarantine, "quarantine");
         Objects.requireNonNull(requestQuarantine, "requestQuarantine");
         Objects.requireNonNull(rateLimiter, "rateLimiter");
+        Objects.requireNonNull(loads, "loads");
+        Objects.requireNonNull(admission, "admission");
         Objects.requireNonNull(responseLimits, "responseLimits");
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(clock, "clock");
--- /dev/null
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/PlainRequestAdmissionTests.java
@@ -0,0 +1,75 @@
+package io.sapphirestack.runtime.relay;
+
+import static io.sapphirestack.runtime.relay.ScriptedEndpoint.response;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sapphirestack.core.admission.ReportedLoad;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against refusals without a recent report, and against refused requests that are sent. */
+@Timeout(30)
+class PlainRequestAdmissionTests {
+
+    private static final ReportedLoad IDLE = new ReportedLoad(0, 0, 1, 1, 0);
+    private static final ReportedLoad FULL = new ReportedLoad(1, 100_000, 1, 1, 0);
+    private static final ReportedLoad STALE = new ReportedLoad(1, 100_000, 1, 1, 1_001);
+    private static final int REQUESTS = 40;
+
+    /** Endpoint with a service time that is not 0 on the clock of the instance. */
+    private static ScriptedEndpoint endpoint() throws IOException {
+        CountDownLatch never = new CountDownLatch(1);
+        return new ScriptedEndpoint(
+                "e1",
+                "z1",
+                (request, socket, out) -> {
+                    never.await(5, TimeUnit.MILLISECONDS);
+                    ScriptedEndpoint.write(
+                            out, response(request, 200, "Sapphire-Seal: s\r\n", "ok"));
+                });
+    }
+
+    private static int served(RelayTestBed testBed) throws IOException {
+        int served = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            String text = testBed.call("POST", "/order/", "x");
+            if (text.startsWith("HTTP/1.1 200")) {
+                served++;
+            } else {
+                assertThat(text).startsWith("HTTP/1.1 503").contains("Retry-After: ");
+            }
+        }
+        return served;
+    }
+
+    @Test
+    void fullServiceRefusesRequestsWithoutSendingThem() throws Exception {
+        try (ScriptedEndpoint endpoint = endpoint();
+                RelayTestBed testBed = new RelayTestBed(endpoint).withTrafficPlan()) {
+            assertThat(served(testBed.withLoad(endpoint, IDLE))).isEqualTo(REQUESTS);
+            int served = served(testBed.withLoad(endpoint, FULL));
+            assertThat(served).isLessThan(REQUESTS / 2);
+            assertThat(endpoint.received()).hasSize(REQUESTS + served);
+        }
+    }
+
+    @Test
+    void reportThatIsTooOldRefusesNothing() throws Exception {
+        try (ScriptedEndpoint endpoint = endpoint();
+                RelayTestBed testBed = new RelayTestBed(endpoint).withTrafficPlan()) {
+            assertThat(served(testBed.withLoad(endpoint, IDLE))).isEqualTo(REQUESTS);
+            assertThat(served(testBed.withLoad(endpoint, STALE))).isEqualTo(REQUESTS);
+        }
+    }
+
+    @Test
+    void loadReportedBeforeAnyServiceTimeIsKnownRefusesNothing() throws Exception {
+        try (ScriptedEndpoint endpoint = endpoint();
+                RelayTestBed testBed = new RelayTestBed(endpoint).withTrafficPlan()) {
+            assertThat(served(testBed.withLoad(endpoint, FULL))).isEqualTo(REQUESTS);
+        }
+    }
+}
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -1,5 +1,8 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.admission.AdmissionSettings;
+import io.sapphirestack.core.admission.ReportedLoad;
+import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.core.limit.NamedRateLimits;
 import io.sapphirestack.core.limit.RateLimitTable;
@@ -33,6 +36,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -54,6 +58,7 @@
     private final AtomicReference<Optional<TrafficPlan>> plan =
             new AtomicReference<>(Optional.empty());
     private final ByteBudget memory = new ByteBudget(MEMORY_BYTES);
+    private final Map<EndpointId, ReportedLoad> loads = new ConcurrentHashMap<>();
     private final EndpointTable table;
     private final AtomicReference<EndpointTable> known;
     private final TrafficRelay relay;
@@ -102,6 +107,8 @@
                                         service -> 1,
                                         () -> 0,
                                         clock),
+                                endpoint -> Optional.ofNullable(loads.get(endpoint.id())),
+                                AdmissionSettings.DEFAULT,
                                 ResponseLimits.DEFAULT,
                                 new Metrics(),
                                 clock));
@@ -136,6 +143,12 @@
         return this;
     }
 
+    /** Sets the load that an endpoint reports. */
+    RelayTestBed withLoad(ScriptedEndpoint endpoint, ReportedLoad load) {
+        loads.put(endpoint.state().id(), load);
+        return this;
+    }
+
     /** Empties the endpoint table, as in an instance that has just started. */
     RelayTestBed withoutEndpoints() {
         known.set(new EndpointTable(Map.of()));
