--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -36,6 +36,7 @@
             StartupWaiter startupWaiter,
             Executor copyOrders) {
         RelayCandidates candidates = new RelayCandidates(context.endpoints(), EndpointFilter.ALL);
+        PlainRequestAdmission admission = new PlainRequestAdmission(context, candidates);
         StreamUrgencyPolicy urgency = new StreamUrgencyPolicy(context);
         return new RelayComponents(
                 context,
@@ -44,8 +45,11 @@
                 new CrashGuard(context, pool),
                 candidates,
                 AttemptObserver.all(
-                        List.of(new RateLimitObserver(context.rateLimiter().named()), urgency)),
-                RequestAdmission.IMMEDIATE,
+                        List.of(
+                                new RateLimitObserver(context.rateLimiter().named()),
+                                urgency,
+                                admission)),
+                admission,
                 new StandbyServices(
                         candidates, pool, new CopyOrderClient(context.copyOrders()), copyOrders),
                 urgency,
