Relay: signals of endpoints, back-off and leaving

Change: EndpointSignals decodes load, leaving and back-off with range checks, EndpointSignalTable keeps them by endpoint process, a filter removes the endpoints, and a request that has chosen one and is not sent yet chooses again. If all are in back-off the refusal names the earliest end with jitter. Requests wait at start-up for known endpoints, not for permitted ones, so such a refusal is immediate. The bound of a back-off is the setting signals.max_backoff_ms. Tests: EndpointSignalsTests, EndpointSignalTableTests, EndpointSignalTests, SignalSettingsTests and the other relay tests of sapphire-runtime, EventCatalogueTests, PlatformWordsTests, ArchitectureTests pass.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -17,6 +17,7 @@
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.EndpointRateLimiter;
+import io.sapphirestack.core.relay.EndpointSignalTable;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.RelayWorkKind;
@@ -114,6 +115,7 @@
     private final RequestQuarantine requestQuarantine =
             new RequestQuarantine(crashEvidence.histories(), MillisClock.wall(), random.nextLong());
     private final NamedRateLimits rateLimits = new NamedRateLimits(clock);
+    private final EndpointSignalTable signals;
     private final ByteBudget messageMemory;
     private final EndpointRegistry endpointRegistry;
     private final DisseminationService dissemination;
@@ -159,6 +161,9 @@
                         this::liveInstanceCount,
                         service -> disseminationParts.retryBudgetUse().read().of(service),
                         clock);
+        this.signals =
+                new EndpointSignalTable(
+                        settings.signals(), () -> ThreadLocalRandom.current().nextDouble(), clock);
         this.messageMemory = new ByteBudget(settings.messages().memoryBytes());
         this.endpointRegistry =
                 new EndpointRegistry(
@@ -270,6 +275,7 @@
                         retryBudget::requestShare,
                         () -> ThreadLocalRandom.current().nextDouble(),
                         clock),
+                signals,
                 settings.messages().responseLimits(),
                 metrics,
                 clock);
@@ -297,6 +303,10 @@
                 "sapphire_rate_limited_endpoints",
                 "Endpoints that named a rate limit to this instance.",
                 () -> rateLimits.current().size());
+        metrics.registerGauge(
+                "sapphire_blocked_endpoints",
+                "Endpoint processes that are leaving or in back-off.",
+                signals::blockedCount);
         metrics.registerGauge(
                 "sapphire_caller_connections",
                 "Open connections of callers.",
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelaySettings.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelaySettings.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.daemon.relay;
 
+import io.sapphirestack.core.relay.EndpointSignalTable;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.daemon.DaemonSettings;
 import java.nio.file.Path;
@@ -21,6 +22,7 @@
  * @param maxConnections maximum number of open connections of callers
  * @param retryBudget limits on the retries of the whole fleet
  * @param messages limits on received messages and their memory
+ * @param signals limits on what endpoints may ask for in their responses
  * @param graceMs longest time from a termination signal to the end of the process, in milliseconds
  */
 public record RelaySettings(
@@ -35,6 +37,7 @@
         int maxConnections,
         FleetRetryBudget.Settings retryBudget,
         MessageSettings messages,
+        EndpointSignalTable.Settings signals,
         long graceMs) {
 
     /** Requires the components to be non-null. */
@@ -47,5 +50,6 @@
         Objects.requireNonNull(callerListen, "callerListen");
         Objects.requireNonNull(retryBudget, "retryBudget");
         Objects.requireNonNull(messages, "messages");
+        Objects.requireNonNull(signals, "signals");
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/Metrics.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/metrics/Metrics.java
@@ -45,6 +45,18 @@
             counter("sapphire_committed_tokens", "Tokens committed by this owner.");
     private final Counter takeovers =
             counter("sapphire_takeovers", "Generations taken over from a lost owner.");
+    private final Counter endpointSignals =
+            counter("sapphire_endpoint_signals", "Endpoints that left or backed off.", "signal");
+    private final Counter malformedSignals =
+            counter("sapphire_malformed_signals", "Malformed signals of endpoints.", "field");
+    private final Counter signalRefusals =
+            counter(
+                    "sapphire_signal_refusals",
+                    "Requests refused because all endpoints are leaving or in back-off.");
+    private final Counter replacedChoices =
+            counter(
+                    "sapphire_replaced_choices",
+                    "Requests whose endpoint began to leave or back off before they were sent.");
     private final Histogram requestSeconds =
             histogram("sapphire_http_request_seconds", "Time to the end of the answer.", "route");
     private final Histogram resumeSeconds =
@@ -183,6 +195,34 @@
         takeovers.inc();
     }
 
+    /**
+     * Counts an endpoint process that began to leave or a back-off that began.
+     *
+     * @param signal kind of signal, as a label value
+     */
+    public void recordEndpointSignal(String signal) {
+        endpointSignals.labelValues(signal).inc();
+    }
+
+    /**
+     * Counts a malformed signal of an endpoint.
+     *
+     * @param field field of the response, as a label value
+     */
+    public void recordMalformedSignal(String field) {
+        malformedSignals.labelValues(field).inc();
+    }
+
+    /** Counts a request that was refused because all endpoints are leaving or in back-off. */
+    public void recordSignalRefusal() {
+        signalRefusals.inc();
+    }
+
+    /** Counts a request whose endpoint began to leave or back off before it was sent. */
+    public void recordReplacedChoice() {
+        replacedChoices.inc();
+    }
+
     /**
      * Writes all metrics in the Prometheus text format, encoded in UTF-8.
      *
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -70,12 +70,12 @@
             if (refusal.isPresent()) {
                 return refusal.get();
             }
-            List<EndpointState> candidates =
-                    startupWaiter.awaitEndpoints(request, () -> endpoints.of(request), false);
+            startupWaiter.awaitEndpoints(request, () -> endpoints.known(request), false);
+            List<EndpointState> candidates = endpoints.of(request);
             Optional<EndpointState> endpoint =
                     placement.choose(RelayWorkKind.REQUEST, candidates, history.triedEndpoints);
             if (endpoint.isEmpty()) {
-                return history.lastResponse.orElseGet(() -> unplaced(candidates));
+                return history.lastResponse.orElseGet(() -> unplaced(request, candidates));
             }
             Optional<RelayResponse> response = attempt(request, endpoint.get(), history);
             if (response.isPresent()) {
@@ -85,12 +85,18 @@
     }
 
     /** Returns the response to a request that no endpoint may be sent. */
-    private RelayResponse unplaced(List<EndpointState> candidates) {
+    private RelayResponse unplaced(RelayedRequest request, List<EndpointState> candidates) {
         return candidates.isEmpty()
-                ? RelayResponse.notRun("no endpoint is known", UNREACHABLE_RETRY_AFTER_MS)
+                ? endpoints.refusal(request, unplacedReason(request), UNREACHABLE_RETRY_AFTER_MS)
                 : RelayResponse.rateLimited(context.rateLimiter().retryAfterMs(candidates));
     }
 
+    private String unplacedReason(RelayedRequest request) {
+        return endpoints.known(request).isEmpty()
+                ? "no endpoint is known"
+                : "no endpoint accepts requests now";
+    }
+
     /** Makes one attempt; returns the final response, or empty if a retry follows. */
     private Optional<RelayResponse> attempt(
             RelayedRequest request, EndpointState endpoint, AttemptHistory history)
@@ -98,9 +104,12 @@
         history.triedEndpoints.add(endpoint);
         long startedAtMs = context.clock().nowMs();
         try {
-            AttemptResult result = sendAttempt(request, endpoint, history);
+            Optional<AttemptResult> result = sendAttempt(request, endpoint, history);
+            if (result.isEmpty()) {
+                return Optional.empty();
+            }
             history.sentCount++;
-            return handleResult(request, result, history);
+            return handleResult(request, result.get(), history);
         } catch (UpstreamException e) {
             context.health().recordUnreachable(endpoint.id());
             long attemptMs = context.clock().nowMs() - startedAtMs;
@@ -147,7 +156,8 @@
         }
     }
 
-    private AttemptResult sendAttempt(
+    /** Sends a request; returns empty if its endpoint wants no more requests before that. */
+    private Optional<AttemptResult> sendAttempt(
             RelayedRequest request, EndpointState endpoint, AttemptHistory history)
             throws ServiceException {
         long remainingMs = request.remainingMs(context.clock());
@@ -158,13 +168,17 @@
         context.health().recordSelection(endpoint.id());
         context.metrics().recordAttempt(history.sentCount == 0 ? "first" : "repeat");
         UpstreamConnection connection = pool.acquire(endpoint, request);
+        if (endpoints.isWithdrawn(request, endpoint)) {
+            connection.close();
+            return Optional.empty();
+        }
         try (DispatchPermit permit =
                 context.inFlight().begin(endpoint.id(), RelayWorkKind.REQUEST.weight())) {
             long sentAtMs = context.clock().nowMs();
             connection.send(request, request.headersFor(endpoint, context.clock()));
             AttemptResult result = receiveResult(request, connection, sentAtMs);
             pool.release(connection);
-            return result;
+            return Optional.of(result);
         } catch (ServiceException e) {
             connection.close();
             throw e;
@@ -201,7 +215,8 @@
             return Optional.of(
                     history.lastResponse.orElseGet(
                             () ->
-                                    RelayResponse.notRun(
+                                    endpoints.refusal(
+                                            request,
                                             "each endpoint that was tried refused the request",
                                             BUSY_RETRY_AFTER_MS)));
         }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.relay.RateLimitedPlacement;
+import io.sapphirestack.core.time.MillisClock;
 import java.util.List;
 
 /**
@@ -34,10 +35,22 @@
                 pool,
                 startupWaiter,
                 new CrashGuard(context, pool),
-                new RelayCandidates(context.endpoints(), EndpointFilter.ALL),
-                AttemptObserver.all(List.of(new RateLimitObserver(context.rateLimiter().named()))),
+                new RelayCandidates(context, EndpointFilter.ALL.and(signalFilter(context))),
+                AttemptObserver.all(
+                        List.of(
+                                new RateLimitObserver(context.rateLimiter().named()),
+                                signalObserver(context))),
                 RequestAdmission.IMMEDIATE,
                 UrgencyPolicy.DEFAULT,
                 new RateLimitedPlacement(context.placement(), context.rateLimiter()));
     }
+
+    private static EndpointFilter signalFilter(RelayContext context) {
+        return (request, endpoints) -> context.signals().available(endpoints);
+    }
+
+    private static AttemptObserver signalObserver(RelayContext context) {
+        return new EndpointSignalObserver(
+                context.signals(), context.metrics(), context.clock(), MillisClock.wall());
+    }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -4,6 +4,7 @@
 import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.EndpointRateLimiter;
+import io.sapphirestack.core.relay.EndpointSignalTable;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.ResponseLimits;
@@ -29,6 +30,7 @@
  * @param quarantine prompts that must not be sent to engines
  * @param requestQuarantine requests that must not be sent to endpoints
  * @param rateLimiter keeps the requests to endpoints within the limits that they name
+ * @param signals what endpoints say about themselves
  * @param responseLimits limits on the responses of endpoints
  * @param metrics metrics of requests, attempts and resumed streams
  * @param clock monotonic clock
@@ -44,6 +46,7 @@
         PromptQuarantine quarantine,
         RequestQuarantine requestQuarantine,
         EndpointRateLimiter rateLimiter,
+        EndpointSignalTable signals,
         ResponseLimits responseLimits,
         Metrics metrics,
         MillisClock clock) {
@@ -60,6 +63,7 @@
         Objects.requireNonNull(quarantine, "quarantine");
         Objects.requireNonNull(requestQuarantine, "requestQuarantine");
         Objects.requireNonNull(rateLimiter, "rateLimiter");
+        Objects.requireNonNull(signals, "signals");
         Objects.requireNonNull(responseLimits, "responseLimits");
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(clock, "clock");
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayHeaders.java
@@ -22,6 +22,9 @@
  *     the last part belongs to the request or its session
  * @param rateLimit requests per second that an endpoint takes from all instances together, a
  *     decimal number in its responses
+ * @param load load that an endpoint reports in its responses: {@code running,waiting,slots}, with
+ *     {@code ,pace} in percent of the usual service time if it knows it
+ * @param leaving {@code 1} in the responses of an endpoint that is leaving
  * @param urgency urgency of a stream for its engine, from 0, the most urgent, to 9; set by this
  *     system
  * @param reserved further fields that are dropped from the requests of callers, because only this
@@ -40,6 +43,8 @@
         String resumeFrom,
         String promptParts,
         String rateLimit,
+        String load,
+        String leaving,
         String urgency,
         Set<String> reserved) {
 
@@ -58,6 +63,8 @@
                     "Sapphire-Resume-From",
                     "Sapphire-Prompt-Parts",
                     "Sapphire-Rate-Limit",
+                    "Sapphire-Load",
+                    "Sapphire-Leaving",
                     "Sapphire-Urgency",
                     Set.of());
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.Supplier;
 
 /** Streamed request with all its attempts. Used by one thread. */
 final class RelayedStream implements AutoCloseable {
@@ -273,6 +272,11 @@
                         .or(() -> chooseEndpoint(candidates))
                         .orElseThrow(() -> unplaced(candidates));
         UpstreamConnection connection = connect(endpoint);
+        if (endpoints.isWithdrawn(request, endpoint)) {
+            connection.close();
+            startAttempt();
+            return;
+        }
         if (attemptCount > 0
                 && (!isRetryAllowed()
                         || !context.retryBudget().tryRetry(request.service().name()))) {
@@ -281,7 +285,7 @@
         }
         Optional<EndpointState> nextStandbyHolder =
                 request.service().keepsStandbyCopies() && request.route().kind().isSafeToRetry()
-                        ? context.placement().chooseStandby(candidates, endpoint, failed)
+                        ? context.placement().chooseStandby(endpoints.of(request), endpoint, failed)
                         : Optional.empty();
         attemptCount++;
         attemptStartedAtMs = context.clock().nowMs();
@@ -337,8 +341,10 @@
     }
 
     private List<EndpointState> candidates() throws CallerDisconnectedException {
-        Supplier<List<EndpointState>> known = () -> endpoints.of(request);
-        return attemptCount == 0 ? startupWaiter.awaitEndpoints(request, known, true) : known.get();
+        if (attemptCount == 0) {
+            startupWaiter.awaitEndpoints(request, () -> endpoints.known(request), true);
+        }
+        return endpoints.of(request);
     }
 
     private String attemptReason(boolean fromCopy) {
@@ -448,8 +454,10 @@
                 peer,
                 lastResponse.orElseGet(
                         () ->
-                                RelayResponse.notRun(
-                                        "no endpoint accepted the stream", RETRY_AFTER_MS)));
+                                endpoints.refusal(
+                                        request,
+                                        "no endpoint accepted the stream",
+                                        RETRY_AFTER_MS)));
     }
 
     @Override
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -1,13 +1,16 @@
 package io.sapphirestack.runtime.relay;
 
+import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.quarantine.PromptParts;
 import io.sapphirestack.core.quarantine.RequestFingerprint;
 import io.sapphirestack.core.relay.RelayedAccount;
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.relay.TrafficRoute;
+import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.IOException;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -75,13 +78,15 @@
     }
 
     /**
-     * Closes expired idle connections, drops the health of endpoints that are no longer known, and
+     * Closes expired idle connections, drops the state of endpoints that are no longer known, and
      * logs changes of the quarantine. Called about once a second, by one thread.
      */
     public void sweep() {
         pool.sweep();
         crashGuard.logChanges();
-        context.health().retain(context.endpoints().get().byId().keySet());
+        Map<EndpointId, EndpointState> known = context.endpoints().get().byId();
+        context.health().retain(known.keySet());
+        context.signals().retain(known.values());
     }
 
     /**
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamResponseHead.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamResponseHead.java
@@ -22,6 +22,14 @@
                 .findFirst();
     }
 
+    /** Returns the values of all fields with a name, in the order of arrival. */
+    List<String> headerValues(String name) {
+        return headers.stream()
+                .filter(field -> field.name().equalsIgnoreCase(name))
+                .map(HeaderField::value)
+                .toList();
+    }
+
     boolean isSuccess() {
         return status >= 200 && status < 300;
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -10,6 +10,7 @@
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.EndpointRateLimiter;
+import io.sapphirestack.core.relay.EndpointSignalTable;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.RelayedAccount;
@@ -56,6 +57,9 @@
     private final ByteBudget memory = new ByteBudget(MEMORY_BYTES);
     private final EndpointTable table;
     private final AtomicReference<EndpointTable> known;
+    private final EndpointSignalTable signals =
+            new EndpointSignalTable(EndpointSignalTable.Settings.DEFAULT, () -> 0, clock);
+    private final AtomicReference<Runnable> duringPlacement = new AtomicReference<>(() -> {});
     private final TrafficRelay relay;
     private final RelayListener listener;
 
@@ -75,7 +79,15 @@
         // Without jitter, placement prefers the endpoint with the lowest name in availability zone
         // z1.
         RelayPlacement placement =
-                new RelayPlacement("z1", e -> inFlight.inFlight(e.id()), health, () -> 0, () -> 1);
+                new RelayPlacement(
+                        "z1",
+                        e -> inFlight.inFlight(e.id()),
+                        health,
+                        () -> {
+                            duringPlacement.get().run();
+                            return 0;
+                        },
+                        () -> 1);
         relay =
                 new TrafficRelay(
                         new RelayContext(
@@ -102,6 +114,7 @@
                                         service -> 1,
                                         () -> 0,
                                         clock),
+                                signals,
                                 ResponseLimits.DEFAULT,
                                 new Metrics(),
                                 clock));
@@ -131,6 +144,16 @@
         return this;
     }
 
+    /** Sets a step that runs when the endpoint of a request is chosen. */
+    void duringPlacement(Runnable step) {
+        duringPlacement.set(step);
+    }
+
+    /** Returns what endpoints say about themselves. */
+    EndpointSignalTable signals() {
+        return signals;
+    }
+
     /** Empties the endpoint table, as in an instance that has just started. */
     RelayTestBed withoutEndpoints() {
         known.set(new EndpointTable(Map.of()));
