Placement by expected completion where endpoints report their pace

Cause: placement by work in flight does not know which machines are slow, for good or for some hundred milliseconds. All instances also act on the same late numbers of work in flight, so plain requests of a large fleet gather at one endpoint. Change: CompletionEstimator multiplies the cost by a learned speed of the machine (EndpointSpeeds) and by the reported pace, and counts the requests of plain endpoints from the latest report to this instance. Endpoints that have not reported a pace cost as before.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
@@ -19,10 +19,10 @@
 /**
  * Chooses the endpoint of a relayed request and the endpoint that keeps a standby copy of it.
  *
- * <p>The cost of an endpoint is its work in flight relative to its slots, plus a penalty for its
- * recent error rate. Many instances decide at the same time from the same reports, so each adds
- * jitter to every cost, up to the weight of the work being placed. Without it they would all choose
- * the same endpoint.
+ * <p>The cost of an endpoint is its work in flight relative to its slots, adapted by a {@link
+ * CompletionEstimator} where endpoints report their pace, plus a penalty for its recent error rate.
+ * Many instances decide at the same time from the same reports, so each adds jitter to every cost,
+ * up to the weight of the work being placed. Without it they would all choose the same endpoint.
  *
  * <p>Prompts and standby copies are placed at the cheapest of a few randomly sampled endpoints. The
  * reports of other instances are late by several dissemination hops, and prompts take an engine
@@ -53,6 +53,7 @@
     private final EndpointHealth health;
     private final DoubleSupplier random;
     private final IntSupplier instances;
+    private final CompletionEstimator completion;
 
     /**
      * Creates a placement.
@@ -63,18 +64,21 @@
      * @param health endpoint health as observed by this instance
      * @param random returns random numbers from 0 (inclusive) to 1 (exclusive)
      * @param instances returns the number of instances that place work at the endpoints
+     * @param completion estimates the cost of an endpoint from its work in flight and its reports
      */
     public RelayPlacement(
             String zone,
             ToDoubleFunction<EndpointState> requestsInFlight,
             EndpointHealth health,
             DoubleSupplier random,
-            IntSupplier instances) {
+            IntSupplier instances,
+            CompletionEstimator completion) {
         this.zone = Objects.requireNonNull(zone, "zone");
         this.requestsInFlight = Objects.requireNonNull(requestsInFlight, "requestsInFlight");
         this.health = Objects.requireNonNull(health, "health");
         this.random = Objects.requireNonNull(random, "random");
         this.instances = Objects.requireNonNull(instances, "instances");
+        this.completion = Objects.requireNonNull(completion, "completion");
     }
 
     /**
@@ -143,12 +147,11 @@
 
     private Optional<EndpointState> cheapest(
             RelayWorkKind kind, List<EndpointState> candidates, Predicate<EndpointState> allowed) {
-        double maxJitterRequests = RelayWorkKind.toRequests(kind.weight());
         List<EndpointState> eligible = candidates.stream().filter(allowed).toList();
         List<EndpointState> compared =
                 kind == RelayWorkKind.PROMPT ? sample(eligible, sampleSize()) : eligible;
         return compared.stream()
-                .map(endpoint -> new ScoredEndpoint(endpoint, cost(endpoint, maxJitterRequests)))
+                .map(endpoint -> new ScoredEndpoint(endpoint, cost(endpoint, kind)))
                 .min(Comparator.comparingDouble(ScoredEndpoint::cost))
                 .map(ScoredEndpoint::endpoint);
     }
@@ -172,13 +175,14 @@
 
     private record ScoredEndpoint(EndpointState endpoint, double cost) {}
 
-    private double cost(EndpointState endpoint, double maxJitterRequests) {
-        double slots = Math.max(1, endpoint.load().slots());
-        double zoneCost = endpoint.availabilityZone().equals(zone) ? 0 : OTHER_ZONE_COST;
-        return (requestsInFlight.applyAsDouble(endpoint)
-                                + zoneCost
-                                + maxJitterRequests * random.getAsDouble())
-                        / slots
+    private double cost(EndpointState endpoint, RelayWorkKind kind) {
+        double zoneRequests = endpoint.availabilityZone().equals(zone) ? 0 : OTHER_ZONE_COST;
+        double jitterRequests = RelayWorkKind.toRequests(kind.weight()) * random.getAsDouble();
+        return completion.cost(
+                        endpoint,
+                        kind,
+                        requestsInFlight.applyAsDouble(endpoint),
+                        zoneRequests + jitterRequests)
                 + ERROR_COST * health.errorRate(endpoint.id());
     }
 }
--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/RelayPlacementTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/RelayPlacementTests.java
@@ -30,7 +30,8 @@
                     endpoint -> requestsInFlight.getOrDefault(endpoint.id(), 0),
                     health,
                     random::nextDouble,
-                    () -> 1);
+                    () -> 1,
+                    CompletionEstimator.byWorkInFlight());
 
     private static EndpointState endpoint(String id, String zone) {
         return new EndpointState(
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -15,9 +15,11 @@
 import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.relay.CallerLimits;
+import io.sapphirestack.core.relay.CompletionEstimator;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.EndpointRateLimiter;
 import io.sapphirestack.core.relay.EndpointSignalTable;
+import io.sapphirestack.core.relay.EndpointSpeeds;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.RelayWorkKind;
@@ -116,6 +118,7 @@
             new RequestQuarantine(crashEvidence.histories(), MillisClock.wall(), random.nextLong());
     private final NamedRateLimits rateLimits = new NamedRateLimits(clock);
     private final EndpointSignalTable signals;
+    private final EndpointSpeeds speeds = new EndpointSpeeds();
     private final ByteBudget messageMemory;
     private final EndpointRegistry endpointRegistry;
     private final DisseminationService dissemination;
@@ -263,7 +266,8 @@
                         this::requestsInFlightAt,
                         health,
                         () -> ThreadLocalRandom.current().nextDouble(),
-                        this::liveInstanceCount),
+                        this::liveInstanceCount,
+                        new CompletionEstimator(signals::load, speeds::slowdown)),
                 health,
                 inFlight,
                 retryBudget,
@@ -276,6 +280,7 @@
                         () -> ThreadLocalRandom.current().nextDouble(),
                         clock),
                 signals,
+                speeds,
                 settings.messages().responseLimits(),
                 metrics,
                 clock);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -39,7 +39,8 @@
                 AttemptObserver.all(
                         List.of(
                                 new RateLimitObserver(context.rateLimiter().named()),
-                                signalObserver(context))),
+                                signalObserver(context),
+                                speedObserver(context))),
                 RequestAdmission.IMMEDIATE,
                 UrgencyPolicy.DEFAULT,
                 new RateLimitedPlacement(context.placement(), context.rateLimiter()));
@@ -53,4 +54,8 @@
         return new EndpointSignalObserver(
                 context.signals(), context.metrics(), context.clock(), MillisClock.wall());
     }
+
+    private static AttemptObserver speedObserver(RelayContext context) {
+        return new EndpointSpeedObserver(context.speeds(), context.signals(), context.clock());
+    }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -5,6 +5,7 @@
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.EndpointRateLimiter;
 import io.sapphirestack.core.relay.EndpointSignalTable;
+import io.sapphirestack.core.relay.EndpointSpeeds;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.ResponseLimits;
@@ -31,6 +32,7 @@
  * @param requestQuarantine requests that must not be sent to endpoints
  * @param rateLimiter keeps the requests to endpoints within the limits that they name
  * @param signals what endpoints say about themselves
+ * @param speeds learned speeds of the endpoints
  * @param responseLimits limits on the responses of endpoints
  * @param metrics metrics of requests, attempts and resumed streams
  * @param clock monotonic clock
@@ -47,6 +49,7 @@
         RequestQuarantine requestQuarantine,
         EndpointRateLimiter rateLimiter,
         EndpointSignalTable signals,
+        EndpointSpeeds speeds,
         ResponseLimits responseLimits,
         Metrics metrics,
         MillisClock clock) {
@@ -64,6 +67,7 @@
         Objects.requireNonNull(requestQuarantine, "requestQuarantine");
         Objects.requireNonNull(rateLimiter, "rateLimiter");
         Objects.requireNonNull(signals, "signals");
+        Objects.requireNonNull(speeds, "speeds");
         Objects.requireNonNull(responseLimits, "responseLimits");
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(clock, "clock");
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -87,6 +87,7 @@
         Map<EndpointId, EndpointState> known = context.endpoints().get().byId();
         context.health().retain(known.keySet());
         context.signals().retain(known.values());
+        context.speeds().retain(known.values());
     }
 
     /**
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -8,9 +8,11 @@
 import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.relay.CallerLimits;
+import io.sapphirestack.core.relay.CompletionEstimator;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.EndpointRateLimiter;
 import io.sapphirestack.core.relay.EndpointSignalTable;
+import io.sapphirestack.core.relay.EndpointSpeeds;
 import io.sapphirestack.core.relay.FleetRetryBudget;
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.RelayedAccount;
@@ -87,7 +89,8 @@
                             duringPlacement.get().run();
                             return 0;
                         },
-                        () -> 1);
+                        () -> 1,
+                        CompletionEstimator.byWorkInFlight());
         relay =
                 new TrafficRelay(
                         new RelayContext(
@@ -115,6 +118,7 @@
                                         () -> 0,
                                         clock),
                                 signals,
+                                new EndpointSpeeds(),
                                 ResponseLimits.DEFAULT,
                                 new Metrics(),
                                 clock));
