Endpoints: the version of their software reaches all instances

Cause: rollouts choose endpoints by version, but heartbeats were read without it and reports between instances had no place for it. Change: announcement, details and state of an endpoint have a version, empty if unknown or longer than 128 characters. On the wire it is a last entry of the models without a model name; earlier builds read it as a model that is never requested and pass it on.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointAnnouncement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointAnnouncement.java
@@ -24,6 +24,8 @@
  *     incomplete
  * @param highestFencingToken highest fencing token that the endpoint has accepted, 0 for none
  * @param phase lifecycle phase; absent for an endpoint that accepts requests
+ * @param version version of the software of the endpoint; absent if unknown, and treated as unknown
+ *     if it is longer than {@link #MAX_VERSION_CHARS}
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record EndpointAnnouncement(
@@ -37,7 +39,11 @@
         EndpointLoad load,
         List<CacheEvent> cacheEvents,
         long highestFencingToken,
-        EndpointPhase phase) {
+        EndpointPhase phase,
+        String version) {
+
+    /** Maximum length of the version of an endpoint, in characters. */
+    public static final int MAX_VERSION_CHARS = 128;
 
     private static final Pattern ADDRESS = Pattern.compile("[^:\\s]+:([0-9]{1,5})");
     private static final int MAX_PORT = 65_535;
@@ -60,6 +66,7 @@
         load = load == null ? EndpointLoad.NONE : load;
         cacheEvents = cacheEvents == null ? List.of() : List.copyOf(cacheEvents);
         phase = phase == null ? EndpointPhase.SERVING : phase;
+        version = version == null || version.length() > MAX_VERSION_CHARS ? "" : version;
     }
 
     /**
--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointDetails.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointDetails.java
@@ -13,6 +13,7 @@
  * @param models model variants that are loaded
  * @param slots maximum number of requests executed at the same time, 0 if unknown
  * @param phase lifecycle phase of the endpoint's process
+ * @param version version of the endpoint's software, empty if unknown
  */
 public record EndpointDetails(
         String service,
@@ -20,7 +21,8 @@
         String availabilityZone,
         List<ModelPin> models,
         int slots,
-        EndpointPhase phase) {
+        EndpointPhase phase,
+        String version) {
 
     /** Checks that no component is null, and copies the list. */
     public EndpointDetails {
@@ -29,6 +31,7 @@
         Objects.requireNonNull(availabilityZone, "availabilityZone");
         models = List.copyOf(models);
         Objects.requireNonNull(phase, "phase");
+        Objects.requireNonNull(version, "version");
     }
 
     /**
@@ -41,11 +44,32 @@
         EndpointPhase later = phase.later(other);
         return later == phase
                 ? this
-                : new EndpointDetails(service, address, availabilityZone, models, slots, later);
+                : new EndpointDetails(
+                        service, address, availabilityZone, models, slots, later, version);
     }
 
     /**
-     * Creates the details of an endpoint that accepts requests.
+     * Creates the details of an endpoint of unknown version.
+     *
+     * @param service service that the endpoint belongs to
+     * @param address {@code host:port} of its HTTP interface
+     * @param availabilityZone availability zone
+     * @param models model variants that are loaded
+     * @param slots maximum number of requests executed at the same time, 0 if unknown
+     * @param phase lifecycle phase of the endpoint's process
+     */
+    public EndpointDetails(
+            String service,
+            String address,
+            String availabilityZone,
+            List<ModelPin> models,
+            int slots,
+            EndpointPhase phase) {
+        this(service, address, availabilityZone, models, slots, phase, "");
+    }
+
+    /**
+     * Creates the details of an endpoint of unknown version that accepts requests.
      *
      * @param service service that the endpoint belongs to
      * @param address {@code host:port} of its HTTP interface
@@ -75,6 +99,7 @@
                 announcement.availabilityZone(),
                 announcement.models(),
                 announcement.load().slots(),
-                announcement.phase());
+                announcement.phase(),
+                announcement.version());
     }
 }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportCodec.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportCodec.java
@@ -27,6 +27,13 @@
     private static final int FORM_FULL = 2;
     private static final int FORM_BITS = 2;
 
+    /**
+     * Model name of the entry that carries the version of the endpoint's software at the end of the
+     * models. No model has an empty name, so earlier builds keep the entry as a model that is never
+     * requested, and pass it on unchanged.
+     */
+    private static final String VERSION_ENTRY = "";
+
     /**
      * Unit of the age on the wire; the largest age of 255 units is just above the expiry of an
      * endpoint.
@@ -228,8 +235,12 @@
         writeString(out, details.availabilityZone());
         writeVarint(out, details.slots());
         writeVarint(out, details.phase().ordinal());
-        writeVarint(out, details.models().size());
-        for (ModelPin pin : details.models()) {
+        List<ModelPin> entries = new ArrayList<>(details.models());
+        if (!details.version().isEmpty()) {
+            entries.add(new ModelPin(VERSION_ENTRY, "", details.version()));
+        }
+        writeVarint(out, entries.size());
+        for (ModelPin pin : entries) {
             writeString(out, pin.model());
             writeString(out, pin.adapter());
             writeString(out, pin.version());
@@ -246,7 +257,15 @@
         for (long n = readVarint(in); n > 0; n--) {
             models.add(new ModelPin(readString(in), readString(in), readString(in)));
         }
-        return new EndpointDetails(service, address, availabilityZone, models, slots, phase);
+        return new EndpointDetails(
+                service, address, availabilityZone, models, slots, phase, removeVersion(models));
+    }
+
+    /** Removes the entry of the version from the models; returns the version, empty if unknown. */
+    private static String removeVersion(List<ModelPin> models) {
+        int last = models.size() - 1;
+        boolean present = last >= 0 && models.get(last).model().equals(VERSION_ENTRY);
+        return present ? models.remove(last).version() : "";
     }
 
     private static int encodeRate(double tokensPerS) {
--- a/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointState.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointState.java
@@ -20,6 +20,7 @@
  * @param phase phase of its lifecycle
  * @param announcedAtMs time of the latest announcement on this instance's monotonic clock, in
  *     milliseconds
+ * @param version version of the endpoint's software, empty if unknown
  */
 public record EndpointState(
         EndpointId id,
@@ -30,7 +31,8 @@
         Set<ModelPin> models,
         EndpointLoad load,
         EndpointPhase phase,
-        long announcedAtMs) {
+        long announcedAtMs,
+        String version) {
 
     /** Checks the components. */
     public EndpointState {
@@ -40,10 +42,11 @@
         models = Set.copyOf(models);
         Objects.requireNonNull(load, "load");
         Objects.requireNonNull(phase, "phase");
+        Objects.requireNonNull(version, "version");
     }
 
     /**
-     * Creates the state of an endpoint in phase {@link EndpointPhase#SERVING}.
+     * Creates the state of an endpoint of unknown version in phase {@link EndpointPhase#SERVING}.
      *
      * @param id identifier of the endpoint
      * @param service name of the service that it belongs to
@@ -73,7 +76,8 @@
                 models,
                 load,
                 EndpointPhase.SERVING,
-                announcedAtMs);
+                announcedAtMs,
+                "");
     }
 
     /**
--- a/sapphire-core/src/test/java/io/sapphirestack/core/routing/EndpointTableTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/routing/EndpointTableTests.java
@@ -23,7 +23,8 @@
                 Set.of(),
                 EndpointLoad.NONE,
                 phase,
-                0);
+                0,
+                "");
     }
 
     @Test
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
@@ -416,7 +416,8 @@
                                 Set.copyOf(details.models()),
                                 endpoint.load(),
                                 details.phase(),
-                                endpoint.announcedAtMs()));
+                                endpoint.announcedAtMs(),
+                                details.version()));
             }
             // Published with the lock held, so that an older table never replaces a newer one.
             endpoints.publish(new EndpointTable(states));
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/AbstractDisseminationTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/AbstractDisseminationTests.java
@@ -213,7 +213,8 @@
                 new EndpointLoad((int) sequence, 0, 8, 0),
                 events,
                 0,
-                EndpointPhase.SERVING);
+                EndpointPhase.SERVING,
+                "");
     }
 
     void announce(Member at, String id, long epochMs, long sequence, String version) {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/CapacitySlopes.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/CapacitySlopes.java
@@ -270,7 +270,8 @@
                                 new EndpointLoad(random.nextInt(9), 0, 8, 300),
                                 events,
                                 17,
-                                EndpointPhase.SERVING),
+                                EndpointPhase.SERVING,
+                                ""),
                         KEY);
     }
 
@@ -300,7 +301,8 @@
                             new EndpointLoad(random.nextInt(9), 0, 8, 300),
                             List.of(),
                             0,
-                            EndpointPhase.SERVING),
+                            EndpointPhase.SERVING,
+                            ""),
                     KEY);
             for (int i = 0; i < 8; i++) {
                 index.recordPlacement(id, 1, prompts[random.nextInt(prompts.length)]);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/DisseminationServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/DisseminationServiceTests.java
@@ -255,7 +255,8 @@
                         null,
                         null,
                         0,
-                        EndpointPhase.SERVING);
+                        EndpointPhase.SERVING,
+                        "");
         assertThatThrownBy(() -> registry.receive(other, KEY))
                 .isInstanceOf(RefusedException.class)
                 .hasMessageContaining("not_found");
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/engine/EngineServer.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/engine/EngineServer.java
@@ -112,7 +112,8 @@
                 scheduler.reportedLoad(),
                 cache.drainEvents(clock.nowMs()),
                 models.highestFencingToken(),
-                EndpointPhase.SERVING);
+                EndpointPhase.SERVING,
+                "");
     }
 
     @Override
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/service/ServiceServer.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/service/ServiceServer.java
@@ -79,7 +79,8 @@
                 new EndpointLoad(handler.activeRequests(), 0, REPORTED_SLOTS, 0),
                 List.of(),
                 0,
-                EndpointPhase.SERVING);
+                EndpointPhase.SERVING,
+                "");
     }
 
     @Override
