--- a/sapphire-core/src/main/java/io/sapphirestack/core/record/RecordSpecResolver.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/record/RecordSpecResolver.java
@@ -115,6 +115,17 @@
         return resolve(record, "weight-store", WeightStoreSpec.class);
     }
 
+    /**
+     * Returns the spec of a {@code rollout} record.
+     *
+     * @param record record of that kind
+     * @return spec of the record, or the last spec read for its key if the record is unreadable;
+     *     empty if there is none
+     */
+    public Optional<RolloutSpec> rollout(ConfigRecord record) {
+        return resolve(record, RolloutSpec.KIND, RolloutSpec.class);
+    }
+
     /**
      * Returns the keys of the records whose current body this resolver cannot read.
      *
@@ -212,6 +223,7 @@
                         new WeightStoreSpec(
                                 reader.integer("bytesPerS", null, 1, Long.MAX_VALUE),
                                 (int) reader.integer("maxConcurrentLoads", null, 1, 100_000));
+                case RolloutSpec.KIND -> parseRollout(reader);
                 default -> throw new InvalidFieldException("kind", "is unknown: " + key.kind());
             };
         } catch (InvalidFieldException e) {
@@ -286,6 +298,24 @@
                 maxRequestsPerS);
     }
 
+    private static RolloutSpec parseRollout(SpecReader reader) {
+        double share = reader.decimal("share", 0);
+        if (!(share >= 0 && share <= 1)) {
+            throw new InvalidFieldException(reader.pathOf("share"), "must be from 0 to 1");
+        }
+        return new RolloutSpec(
+                reader.text("service", null),
+                reader.text("version", null),
+                reader.integer("periodMs", null, 1, MAX_DURATION_MS),
+                reader.integer("startedAtMs", null, 0, Long.MAX_VALUE / 2),
+                reader.enumConstant("state", RolloutState.class, null),
+                (int) reader.integer("stage", null, 0, 100),
+                share,
+                reader.integer("changedAtMs", null, 0, Long.MAX_VALUE / 2),
+                reader.text("verdict", ""),
+                reader.texts("excluded"));
+    }
+
     private static ModelSpec parseModel(SpecReader reader) {
         SpecReader pin = reader.requiredChild("pin");
         return new ModelSpec(
--- a/sapphire-core/src/main/java/io/sapphirestack/core/record/SpecReader.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/record/SpecReader.java
@@ -1,7 +1,9 @@
 package io.sapphirestack.core.record;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 
 /** Reads typed fields from the body of a record. Errors contain the path of the invalid field. */
 final class SpecReader {
@@ -45,6 +47,22 @@
         return node.textValue();
     }
 
+    /** Returns the strings of an array, none if it is absent. */
+    List<String> texts(String field) {
+        JsonNode node = body.path(field);
+        if (!node.isMissingNode() && !node.isArray()) {
+            throw new InvalidFieldException(pathOf(field), "must be an array of strings");
+        }
+        List<String> texts = new ArrayList<>();
+        for (JsonNode element : node) {
+            if (!element.isTextual()) {
+                throw new InvalidFieldException(pathOf(field), "must be an array of strings");
+            }
+            texts.add(element.textValue());
+        }
+        return texts;
+    }
+
     String keyHash(String field) {
         String value = text(field, null);
         if (!value.matches("sha256\\$([0-9a-fA-F]{2})+\\$[0-9a-fA-F]{64}")) {
