Rollouts: record, evaluation by the leader, evidence of all instances, filter and calls

Change: RolloutRecords keeps one record per service by compare-and-set; RolloutController evaluates at each instance and writes at the leader of the control log; counts travel in the dissemination batches (field o, ignored by earlier builds, absent without a rollout); RolloutTraffic filters and counts. Tests: RolloutTrafficTests, RolloutServiceTests, RolloutOrderTests, TrafficRelayTests, EndpointObservationDisseminationTests, DisseminationServiceTests, EventCatalogueTests and ArchitectureTests pass.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** Validated set of all routes, services, accounts and limits of one plan version. Immutable. */
 public final class TrafficPlan {
@@ -74,6 +75,22 @@
                 .findFirst();
     }
 
+    /**
+     * Returns the names of the routes that send requests to a service.
+     *
+     * @param service name of the service
+     * @return names, possibly none
+     */
+    public Set<String> routesOf(String service) {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(
+                        route ->
+                                route.targets().stream().anyMatch(t -> t.service().equals(service)))
+                .map(TrafficRoute::name)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Finds a service.
      *
--- a/sapphire-core/src/main/java/io/sapphirestack/core/rollout/LocalRollout.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/rollout/LocalRollout.java
@@ -2,6 +2,8 @@
 
 import io.sapphirestack.core.record.RolloutSpec;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.core.version.VersionCounts;
+import io.sapphirestack.core.version.VersionCountsTable;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -67,7 +69,7 @@
                 bound.isExceededBy(latencyMs)
                         ? VersionCounts.Outcome.SLOW
                         : VersionCounts.Outcome.GOOD;
-        boolean isNew = version.equals(order.version());
+        boolean isNew = isNew(version);
         count(route, isNew, outcome);
         if (!isNew) {
             bound.add(latencyMs);
@@ -81,7 +83,7 @@
      * @param version version of the endpoint
      */
     public synchronized void recordFailure(String route, String version) {
-        count(route, version.equals(order.version()), VersionCounts.Outcome.FAILED);
+        count(route, isNew(version), VersionCounts.Outcome.FAILED);
     }
 
     private void count(String route, boolean isNew, VersionCounts.Outcome outcome) {
@@ -90,6 +92,15 @@
                 .merge(route, VersionCounts.of(isNew, outcome), VersionCounts::plus);
     }
 
+    /**
+     * Returns whether a version is the one that is rolled out.
+     *
+     * @param version version of an endpoint
+     */
+    public boolean isNew(String version) {
+        return version.equals(order.version());
+    }
+
     /** Returns the counts of this instance that other instances have to know. */
     public synchronized Map<Integer, VersionCounts> counts() {
         removeOldWindows();
--- a/sapphire-core/src/main/java/io/sapphirestack/core/rollout/RolloutEvidence.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/rollout/RolloutEvidence.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.core.rollout;
 
+import io.sapphirestack.core.version.VersionCounts;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
--- a/sapphire-core/src/main/java/io/sapphirestack/core/rollout/SequentialComparison.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/rollout/SequentialComparison.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.core.rollout;
 
+import io.sapphirestack.core.version.VersionCounts;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
--- a/sapphire-core/src/main/java/io/sapphirestack/core/rollout/VersionCounts.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/version/VersionCounts.java
@@ -1,4 +1,4 @@
-package io.sapphirestack.core.rollout;
+package io.sapphirestack.core.version;
 
 /**
  * Responses of the old and the new version of a service to one route within one window of time,
--- a/sapphire-core/src/main/java/io/sapphirestack/core/rollout/VersionCountsTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/version/VersionCountsTable.java
@@ -1,4 +1,4 @@
-package io.sapphirestack.core.rollout;
+package io.sapphirestack.core.version;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.sapphirestack.core.record.RolloutSpec;
--- a/sapphire-core/src/test/java/io/sapphirestack/core/rollout/SimulatedRollout.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/rollout/SimulatedRollout.java
@@ -2,6 +2,8 @@
 
 import io.sapphirestack.core.record.RolloutSpec;
 import io.sapphirestack.core.record.RolloutState;
+import io.sapphirestack.core.version.VersionCounts;
+import io.sapphirestack.core.version.VersionCountsTable;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -118,6 +118,7 @@
     private final EndpointRegistry endpointRegistry;
     private final DisseminationService dissemination;
     private final TrafficPlanStore trafficPlans;
+    private final RolloutAssembly rollouts;
     private final TrafficRelay relay;
     private final RelayListener callerListener;
     private final ControlWatcher watcher;
@@ -166,9 +167,17 @@
         if (!settings.isFirstStart()) {
             endpointRegistry.holdUntilFirstExchange(ENDPOINT_HOLD_MS);
         }
-        this.dissemination = createDissemination();
         this.trafficPlans =
                 new TrafficPlanStore(control, control, blackboard.control()::read, decoder);
+        this.rollouts =
+                new RolloutAssembly(
+                        control,
+                        blackboard.control(),
+                        trafficPlans,
+                        blackboard.endpoints(),
+                        disseminationParts.versionCounts(),
+                        localVoter);
+        this.dissemination = createDissemination();
         this.relay = new TrafficRelay(createRelayContext(headers));
         this.callerListener =
                 new RelayListener(
@@ -240,6 +249,7 @@
                                 () -> RetryUsageTable.ofServices(retryBudget.localUsage()),
                                 crashEvidence,
                                 rateLimits::current,
+                                rollouts.rollouts()::counts,
                                 IN_FLIGHT_REPORT_LIMIT_ENDPOINTS),
                         DISSEMINATION_FAN_OUT,
                         clock);
@@ -264,6 +274,7 @@
                 retryBudget,
                 quarantine,
                 requestQuarantine,
+                rollouts.rollouts(),
                 new EndpointRateLimiter(
                         rateLimits,
                         disseminationParts.rateLimits()::read,
@@ -368,6 +379,7 @@
                 LEARN_VOTERS_INTERVAL_MS,
                 TimeUnit.MILLISECONDS);
         dissemination.start(scheduler);
+        rollouts.start(scheduler, metrics);
         callerListener.start(scheduler);
         lifecycle.start(scheduler);
         LOG.info(
@@ -398,6 +410,11 @@
         return trafficPlans;
     }
 
+    /** Returns the service that takes orders to roll out versions of services. */
+    public RolloutService rollouts() {
+        return rollouts.service();
+    }
+
     /** Returns the registry that receives the announcements of endpoints. */
     public EndpointRegistry endpoints() {
         return endpointRegistry;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBatch.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBatch.java
@@ -24,11 +24,22 @@
  * @param l rate limits of endpoints, encoded by {@link
  *     io.sapphirestack.core.membership.RateLimitAggregator}
  * @param h crashes by request, encoded by {@link io.sapphirestack.core.quarantine.EvidenceExchange}
+ * @param o counts of responses during rollouts, encoded by {@link
+ *     io.sapphirestack.core.membership.VersionCountsAggregator}; earlier builds ignore it
  */
 @PeerMessage(code = 40, reply = DisseminationBatch.Ack.class)
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
 public record DisseminationBatch(
-        InstanceId s, int t, byte[] r, byte[] u, byte[] f, byte[] b, byte[] q, byte[] l, byte[] h)
+        InstanceId s,
+        int t,
+        byte[] r,
+        byte[] u,
+        byte[] f,
+        byte[] b,
+        byte[] q,
+        byte[] l,
+        byte[] h,
+        byte[] o)
         implements PeerRequest<DisseminationBatch.Ack> {
 
     /** Checks that the sender is present; absent byte arrays become empty. */
@@ -41,6 +52,7 @@
         q = q == null ? new byte[0] : q;
         l = l == null ? new byte[0] : l;
         h = h == null ? new byte[0] : h;
+        o = o == null ? new byte[0] : o;
     }
 
     /**
@@ -55,12 +67,13 @@
     static DisseminationBatch ofCrashes(
             InstanceId sender, int tree, byte[] byParts, byte[] byRequest) {
         return new DisseminationBatch(
-                sender, tree, null, null, null, null, byParts, null, byRequest);
+                sender, tree, null, null, null, null, byParts, null, byRequest, null);
     }
 
     /** Returns whether the batch contains nothing to apply. */
     boolean hasNoContent() {
-        return r.length + u.length + f.length + b.length + q.length + l.length + h.length == 0;
+        return r.length + u.length + f.length + b.length + q.length + l.length + h.length + o.length
+                == 0;
     }
 
     /**
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
@@ -16,6 +16,7 @@
 import io.sapphirestack.core.membership.ReportTable;
 import io.sapphirestack.core.membership.RetryBudgetAggregator;
 import io.sapphirestack.core.membership.UsageAggregator;
+import io.sapphirestack.core.membership.VersionCountsAggregator;
 import io.sapphirestack.core.quarantine.CrashHistory;
 import io.sapphirestack.core.quarantine.CrashReport;
 import io.sapphirestack.core.quarantine.EvidenceExchange;
@@ -37,10 +38,11 @@
 import org.jboss.logging.Logger;
 
 /**
- * Sends endpoint reports, account usage, requests in flight, the use of retry budgets, rate limits
- * and crashes to the neighbours in the dissemination tree, crashes at once and the rest in periodic
- * batches. Periodic anti-entropy exchanges repair what a neighbour missed. {@link #tick()} does all
- * periodic work and is called every {@link #BATCH_INTERVAL_MS}. Thread-safe.
+ * Sends endpoint reports, account usage, requests in flight, the use of retry budgets, rate limits,
+ * counts of rollouts and crashes to the neighbours in the dissemination tree, crashes at once and
+ * the rest in periodic batches. Periodic anti-entropy exchanges repair what a neighbour missed.
+ * {@link #tick()} does all periodic work and is called every {@link #BATCH_INTERVAL_MS}.
+ * Thread-safe.
  */
 public final class DisseminationService implements AutoCloseable {
     /** Time between two batches to a neighbour, in milliseconds. */
@@ -86,6 +88,7 @@
     private final InFlightAggregator inFlight = new InFlightAggregator();
     private final RetryBudgetAggregator retryBudgets = new RetryBudgetAggregator();
     private final RateLimitAggregator rateLimits = new RateLimitAggregator();
+    private final VersionCountsAggregator versionCounts = new VersionCountsAggregator();
     private final EvidenceExchange<CrashReport> crashReports;
     private final EvidenceExchange<CrashHistory> crashHistories;
     private final Map<InstanceId, Neighbour> neighbours = new HashMap<>();
@@ -234,6 +237,7 @@
             parts.usage().publish(usage.others());
             parts.retryBudgetUse().publish(retryBudgets.others());
             parts.rateLimits().publish(rateLimits.others());
+            parts.versionCounts().publish(versionCounts.others());
             parts.inFlight()
                     .publish(
                             disseminatesInFlight && tree.contains(ownId)
@@ -271,6 +275,7 @@
         inFlight.retainNeighbours(neighbours.keySet());
         retryBudgets.retainNeighbours(neighbours.keySet());
         rateLimits.retainNeighbours(neighbours.keySet());
+        versionCounts.retainNeighbours(neighbours.keySet());
         crashReports.sendAllNext();
         crashHistories.sendAllNext();
         LOG.debugf(
@@ -315,7 +320,9 @@
                         probe),
                 crashReports.encodeFor(neighbour.info.ref().id()),
                 rateLimits.encodeFor(neighbour.info.ref().id(), sources.rateLimits().get(), probe),
-                crashHistories.encodeFor(neighbour.info.ref().id()));
+                crashHistories.encodeFor(neighbour.info.ref().id()),
+                versionCounts.encodeFor(
+                        neighbour.info.ref().id(), sources.versionCounts().get(), probe));
     }
 
     /** Keeps only the latest events, because they describe the current state of the cache best. */
@@ -369,6 +376,7 @@
             inFlight.sendFullNext(neighbour.info.ref().id());
             retryBudgets.sendFullNext(neighbour.info.ref().id());
             rateLimits.sendFullNext(neighbour.info.ref().id());
+            versionCounts.sendFullNext(neighbour.info.ref().id());
             crashReports.sendAllNext(neighbour.info.ref().id());
             crashHistories.sendAllNext(neighbour.info.ref().id());
         }
@@ -386,7 +394,8 @@
                         usage.receive(batch.s(), batch.u())
                                 & inFlight.receive(batch.s(), batch.f())
                                 & retryBudgets.receive(batch.s(), batch.b())
-                                & rateLimits.receive(batch.s(), batch.l());
+                                & rateLimits.receive(batch.s(), batch.l())
+                                & versionCounts.receive(batch.s(), batch.o());
             }
         }
         return new DisseminationBatch.Ack(merged.missing(), !applied);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationSources.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationSources.java
@@ -5,6 +5,7 @@
 import io.sapphirestack.core.limit.RetryUsageTable;
 import io.sapphirestack.core.membership.InFlightAggregator;
 import io.sapphirestack.core.quarantine.CrashEvidence;
+import io.sapphirestack.core.version.VersionCounts;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.IntPredicate;
@@ -21,6 +22,8 @@
  * @param crashEvidence crashes that this instance knows; those received are added to it
  * @param rateLimits returns the rate limits that endpoints name to this instance, in thousandths of
  *     a request per second by endpoint handle
+ * @param versionCounts returns the counts of responses by version that rollouts in progress need,
+ *     by handle
  * @param maxInFlightEndpoints maximum number of endpoints for which requests in flight are
  *     disseminated
  */
@@ -31,6 +34,7 @@
         Supplier<RetryUsageTable> retryBudgetUse,
         CrashEvidence crashEvidence,
         Supplier<Map<Integer, Integer>> rateLimits,
+        Supplier<Map<Integer, VersionCounts>> versionCounts,
         int maxInFlightEndpoints) {
     /** Checks that no component is null. */
     public DisseminationSources {
@@ -40,10 +44,11 @@
         Objects.requireNonNull(retryBudgetUse, "retryBudgetUse");
         Objects.requireNonNull(crashEvidence, "crashEvidence");
         Objects.requireNonNull(rateLimits, "rateLimits");
+        Objects.requireNonNull(versionCounts, "versionCounts");
     }
 
     /**
-     * Creates sources without retry budgets and rate limits, and with the limit {@link
+     * Creates sources without retry budgets, rate limits and rollouts, and with the limit {@link
      * InFlightAggregator#MAX_ENDPOINTS}, for instances that do not relay traffic and whose
      * endpoints report their load.
      *
@@ -64,6 +69,7 @@
                 () -> RetryUsageTable.EMPTY,
                 crashEvidence,
                 Map::of,
+                Map::of,
                 InFlightAggregator.MAX_ENDPOINTS);
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -29,13 +29,15 @@
 
     static RelayComponents create(
             RelayContext context, UpstreamPool pool, StartupWaiter startupWaiter) {
+        RolloutTraffic rollouts = new RolloutTraffic(context.rollouts(), context.clock());
         return new RelayComponents(
                 context,
                 pool,
                 startupWaiter,
                 new CrashGuard(context, pool),
-                new RelayCandidates(context.endpoints(), EndpointFilter.ALL),
-                AttemptObserver.all(List.of(new RateLimitObserver(context.rateLimiter().named()))),
+                new RelayCandidates(context.endpoints(), rollouts),
+                AttemptObserver.all(
+                        List.of(new RateLimitObserver(context.rateLimiter().named()), rollouts)),
                 RequestAdmission.IMMEDIATE,
                 UrgencyPolicy.DEFAULT,
                 new RateLimitedPlacement(context.placement(), context.rateLimiter()));
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayContext.java
@@ -8,6 +8,7 @@
 import io.sapphirestack.core.relay.RelayPlacement;
 import io.sapphirestack.core.relay.ResponseLimits;
 import io.sapphirestack.core.relay.TrafficPlan;
+import io.sapphirestack.core.rollout.LocalRollouts;
 import io.sapphirestack.core.routing.EndpointTable;
 import io.sapphirestack.core.routing.InFlightTracker;
 import io.sapphirestack.core.time.MillisClock;
@@ -28,6 +29,7 @@
  * @param retryBudget limits the retries of the whole fleet
  * @param quarantine prompts that must not be sent to engines
  * @param requestQuarantine requests that must not be sent to endpoints
+ * @param rollouts rollouts of new versions of services
  * @param rateLimiter keeps the requests to endpoints within the limits that they name
  * @param responseLimits limits on the responses of endpoints
  * @param metrics metrics of requests, attempts and resumed streams
@@ -43,6 +45,7 @@
         FleetRetryBudget retryBudget,
         PromptQuarantine quarantine,
         RequestQuarantine requestQuarantine,
+        LocalRollouts rollouts,
         EndpointRateLimiter rateLimiter,
         ResponseLimits responseLimits,
         Metrics metrics,
@@ -59,6 +62,7 @@
         Objects.requireNonNull(retryBudget, "retryBudget");
         Objects.requireNonNull(quarantine, "quarantine");
         Objects.requireNonNull(requestQuarantine, "requestQuarantine");
+        Objects.requireNonNull(rollouts, "rollouts");
         Objects.requireNonNull(rateLimiter, "rateLimiter");
         Objects.requireNonNull(responseLimits, "responseLimits");
         Objects.requireNonNull(metrics, "metrics");
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/AbstractDisseminationTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/AbstractDisseminationTests.java
@@ -24,6 +24,7 @@
 import io.sapphirestack.core.routing.EndpointTable;
 import io.sapphirestack.core.routing.PrefixIndex;
 import io.sapphirestack.core.trust.KeyHash;
+import io.sapphirestack.core.version.VersionCounts;
 import io.sapphirestack.runtime.transport.PeerHandler;
 import io.sapphirestack.runtime.transport.PeerHandlerRegistry;
 import io.sapphirestack.runtime.transport.PeerRequest;
@@ -78,6 +79,7 @@
         final DisseminationBlackboardParts parts = DisseminationBlackboardParts.create();
         int inFlight;
         Map<Integer, Integer> rateLimits = Map.of();
+        Map<Integer, VersionCounts> versionCounts = Map.of();
         final CrashEvidence crashes = CrashEvidence.empty(() -> nowMs);
         int generations = 1;
         RetryUsageTable retryBudgetUse = RetryUsageTable.EMPTY;
@@ -115,6 +117,7 @@
                                     () -> retryBudgetUse,
                                     crashes,
                                     () -> rateLimits,
+                                    () -> versionCounts,
                                     maxInFlightEndpoints),
                             2,
                             () -> nowMs);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/EndpointObservationDisseminationTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/EndpointObservationDisseminationTests.java
@@ -6,6 +6,8 @@
 import io.sapphirestack.core.quarantine.CrashEvidence;
 import io.sapphirestack.core.quarantine.CrashHistory;
 import io.sapphirestack.core.quarantine.CrashReport;
+import io.sapphirestack.core.version.VersionCounts;
+import io.sapphirestack.core.version.VersionCountsTable;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -137,4 +139,25 @@
         }
         members.forEach(m -> assertThat(m.parts.rateLimits().read().isEmpty()).isTrue());
     }
+
+    /** Guards against a bad version that no instance alone can tell from a good one. */
+    @Example
+    void countsOfAVersionAreSummedOverAllOtherInstances() {
+        startMembers(9);
+        members.forEach(m -> m.versionCounts = Map.of(5, new VersionCounts(70_000, 1, 2, 3, 4, 5)));
+        for (int i = 0; i < 10; i++) {
+            runRound();
+        }
+        VersionCounts sum = members.get(4).parts.versionCounts().read().of(5);
+        assertThat(sum.newRequests()).isEqualTo(8 * 3);
+        assertThat(sum.newSlow()).isEqualTo(8 * 5);
+        members.forEach(m -> m.versionCounts = Map.of());
+        for (int i = 0; i < 10; i++) {
+            runRound();
+        }
+        members.forEach(
+                m ->
+                        assertThat(m.parts.versionCounts().read())
+                                .isEqualTo(VersionCountsTable.EMPTY));
+    }
 }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -7,6 +7,7 @@
 import io.sapphirestack.core.quarantine.CrashReportTable;
 import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.quarantine.RequestQuarantine;
+import io.sapphirestack.core.record.RolloutSpec;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.EndpointHealth;
 import io.sapphirestack.core.relay.EndpointRateLimiter;
@@ -19,6 +20,7 @@
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.relay.TrafficPlanException;
 import io.sapphirestack.core.relay.TrafficRoute;
+import io.sapphirestack.core.rollout.LocalRollouts;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.routing.EndpointTable;
 import io.sapphirestack.core.routing.InFlightTracker;
@@ -54,6 +56,8 @@
     private final AtomicReference<Optional<TrafficPlan>> plan =
             new AtomicReference<>(Optional.empty());
     private final ByteBudget memory = new ByteBudget(MEMORY_BYTES);
+    private final AtomicReference<Map<String, RolloutSpec>> rollouts =
+            new AtomicReference<>(Map.of());
     private final EndpointTable table;
     private final AtomicReference<EndpointTable> known;
     private final TrafficRelay relay;
@@ -96,6 +100,7 @@
                                         new CrashHistoryTable(MillisClock.wall()),
                                         MillisClock.wall(),
                                         1),
+                                new LocalRollouts(rollouts::get, MillisClock.wall()),
                                 new EndpointRateLimiter(
                                         new NamedRateLimits(clock),
                                         () -> RateLimitTable.EMPTY,
@@ -131,6 +136,11 @@
         return this;
     }
 
+    /** Sets the last rollout of the service. */
+    void setRollout(RolloutSpec rollout) {
+        rollouts.set(Map.of("scribe", rollout));
+    }
+
     /** Empties the endpoint table, as in an instance that has just started. */
     RelayTestBed withoutEndpoints() {
         known.set(new EndpointTable(Map.of()));
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/ScriptedEndpoint.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/ScriptedEndpoint.java
@@ -2,6 +2,7 @@
 
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.membership.EndpointLoad;
+import io.sapphirestack.core.membership.EndpointPhase;
 import io.sapphirestack.core.routing.EndpointState;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -25,6 +26,7 @@
     private final ServerSocket server;
     private final Thread acceptThread;
     private final String id;
+    private String version = "";
     private final String availabilityZone;
     private final Script script;
     private final List<Socket> accepted = new CopyOnWriteArrayList<>();
@@ -69,6 +71,12 @@
         return thread;
     }
 
+    /** Sets the version of the software; called before the endpoint is known to a relay. */
+    ScriptedEndpoint withVersion(String text) {
+        version = text;
+        return this;
+    }
+
     EndpointState state() {
         return new EndpointState(
                 EndpointId.of(id),
@@ -78,7 +86,9 @@
                 1,
                 Set.of(),
                 new EndpointLoad(0, 0, 8, 0),
-                0);
+                EndpointPhase.SERVING,
+                0,
+                version);
     }
 
     List<Received> received() {
