--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RolloutTraffic.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RolloutTraffic.java
@@ -29,7 +29,7 @@
     private final LocalRollouts rollouts;
     private final MillisClock clock;
 
-    /** Requests of which an attempt failed at the new version; their next ones use the old one. */
+    /** Requests that the new version refused or failed; their next ones use the old one. */
     private final Set<HttpServerExchange> failedAtNewVersion =
             Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
 
@@ -73,7 +73,9 @@
             RelayedRequest request,
             EndpointState endpoint,
             long sentAtMs) {
-        if (head.status() >= SERVER_ERROR) {
+        if (ResponseChecks.isNotRun(head, request.headers())) {
+            ifInProgress(request, state -> avoidNewVersion(state, request, endpoint));
+        } else if (head.status() >= SERVER_ERROR) {
             recordFailure(request, endpoint);
         } else if (head.isSuccess() && !request.route().kind().isStream()) {
             recordResponse(request, endpoint, clock.nowMs() - sentAtMs);
@@ -110,12 +112,17 @@
                 request,
                 state -> {
                     state.recordFailure(request.route().name(), endpoint.version());
-                    if (state.isNew(endpoint.version())) {
-                        failedAtNewVersion.add(request.exchange());
-                    }
+                    avoidNewVersion(state, request, endpoint);
                 });
     }
 
+    private void avoidNewVersion(
+            LocalRollout state, RelayedRequest request, EndpointState endpoint) {
+        if (state.isNew(endpoint.version())) {
+            failedAtNewVersion.add(request.exchange());
+        }
+    }
+
     private void ifInProgress(RelayedRequest request, Consumer<LocalRollout> action) {
         rollouts.last(request.service().name())
                 .filter(RolloutSpec::isInProgress)
