--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -111,6 +111,7 @@
     private final EndpointRegistry endpointRegistry;
     private final DisseminationService dissemination;
     private final TrafficPlanStore trafficPlans;
+    private final RolloutAssembly rollouts;
     private final TrafficRelay relay;
     private final RelayListener callerListener;
     private final ControlWatcher watcher;
@@ -162,9 +163,17 @@
         if (!settings.isFirstStart()) {
             endpointRegistry.holdUntilFirstExchange(ENDPOINT_HOLD_MS);
         }
-        this.dissemination = createDissemination();
         this.trafficPlans =
                 new TrafficPlanStore(control, control, blackboard.control()::read, decoder);
+        this.rollouts =
+                new RolloutAssembly(
+                        control,
+                        blackboard.control(),
+                        trafficPlans,
+                        blackboard.endpoints(),
+                        disseminationParts.versionCounts(),
+                        localVoter);
+        this.dissemination = createDissemination();
         this.relay = new TrafficRelay(createRelayContext(headers, copyOrders));
         this.callerListener =
                 new RelayListener(
@@ -236,6 +245,7 @@
                                 () -> RetryUsageTable.ofServices(retryBudget.localUsage()),
                                 knowledge.crashEvidence(),
                                 knowledge.rateLimits()::current,
+                                rollouts.rollouts()::counts,
                                 IN_FLIGHT_REPORT_LIMIT_ENDPOINTS),
                         DISSEMINATION_FAN_OUT,
                         clock);
@@ -263,6 +273,7 @@
                 retryBudget,
                 knowledge.quarantine(),
                 knowledge.requestQuarantine(),
+                rollouts.rollouts(),
                 new EndpointRateLimiter(
                         knowledge.rateLimits(),
                         disseminationParts.rateLimits()::read,
@@ -360,6 +371,7 @@
                 LEARN_VOTERS_INTERVAL_MS,
                 TimeUnit.MILLISECONDS);
         dissemination.start(scheduler);
+        rollouts.start(scheduler, metrics);
         callerListener.start(scheduler);
         lifecycle.start(scheduler);
         LOG.info(
@@ -390,6 +402,11 @@
         return trafficPlans;
     }
 
+    /** Returns the service that takes orders to roll out versions of services. */
+    public RolloutService rollouts() {
+        return rollouts.service();
+    }
+
     /** Returns the registry that receives the announcements of endpoints. */
     public EndpointRegistry endpoints() {
         return endpointRegistry;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -36,8 +36,9 @@
             UpstreamPool pool,
             StartupWaiter startupWaiter,
             Executor copyOrders) {
+        RolloutTraffic rollouts = new RolloutTraffic(context.rollouts(), context.clock());
         RelayCandidates candidates =
-                new RelayCandidates(context, EndpointFilter.ALL.and(signalFilter(context)));
+                new RelayCandidates(context, signalFilter(context).and(rollouts));
         PlainRequestAdmission admission = new PlainRequestAdmission(context, candidates);
         StreamUrgencyPolicy urgency = new StreamUrgencyPolicy(context);
         return new RelayComponents(
@@ -51,6 +52,7 @@
                                 new RateLimitObserver(context.rateLimiter().named()),
                                 signalObserver(context),
                                 speedObserver(context),
+                                rollouts,
                                 admission)),
                 admission,
                 new StandbyServices(
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -9,6 +9,7 @@
 import io.sapphirestack.core.quarantine.CrashReportTable;
 import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.quarantine.RequestQuarantine;
+import io.sapphirestack.core.record.RolloutSpec;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.CompletionEstimator;
 import io.sapphirestack.core.relay.EndpointHealth;
@@ -25,6 +26,7 @@
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.relay.TrafficPlanException;
 import io.sapphirestack.core.relay.TrafficRoute;
+import io.sapphirestack.core.rollout.LocalRollouts;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.routing.EndpointTable;
 import io.sapphirestack.core.routing.InFlightTracker;
@@ -62,6 +64,8 @@
             new AtomicReference<>(Optional.empty());
     private final ByteBudget memory = new ByteBudget(MEMORY_BYTES);
     private final Map<EndpointId, ObservedLoad> loads = new ConcurrentHashMap<>();
+    private final AtomicReference<Map<String, RolloutSpec>> rollouts =
+            new AtomicReference<>(Map.of());
     private final EndpointTable table;
     private final AtomicReference<EndpointTable> known;
     private final EndpointSignalTable signals =
@@ -117,6 +121,7 @@
                                         new CrashHistoryTable(MillisClock.wall()),
                                         MillisClock.wall(),
                                         1),
+                                new LocalRollouts(rollouts::get, MillisClock.wall()),
                                 new EndpointRateLimiter(
                                         new NamedRateLimits(clock),
                                         () -> RateLimitTable.EMPTY,
@@ -188,6 +193,11 @@
         return signals;
     }
 
+    /** Sets the last rollout of the service. */
+    void setRollout(RolloutSpec rollout) {
+        rollouts.set(Map.of("scribe", rollout));
+    }
+
     /** Empties the endpoint table, as in an instance that has just started. */
     RelayTestBed withoutEndpoints() {
         known.set(new EndpointTable(Map.of()));
