Place prompts by work in flight only; pace and speed are used for plain requests

A fast engine with ten streams was preferred to an idle slow one, and the memory of an engine holds nine. Change: CompletionEstimator and EndpointSpeeds serve plain requests only; the load test of prompts is that of before the placement by speed. Tests: placement, estimator and admission tests of sapphire-core pass.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/CompletionEstimator.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/CompletionEstimator.java
@@ -35,9 +35,6 @@
     /** Duration of a plain request, in milliseconds; it only averages the pace. */
     static final double REQUEST_MS = 50;
 
-    /** Time until the first event of a long prompt, in milliseconds; it only averages the pace. */
-    static final double PROMPT_MS = 1_000;
-
     /** Cost of the work itself, relative to that of fully used slots. */
     static final double BASE_COST = 1;
 
@@ -64,26 +61,20 @@
     }
 
     /**
-     * Returns the cost of an endpoint.
+     * Returns the cost of an endpoint for a plain request.
      *
      * @param endpoint endpoint
-     * @param kind kind of work that is placed
      * @param requestsInFlight work in flight of all instances as known here, in requests
      * @param extraRequests further cost, such as that of another zone, in requests
      * @return cost, 0 for an idle endpoint of usual speed, above -1
      */
-    double cost(
-            EndpointState endpoint,
-            RelayWorkKind kind,
-            double requestsInFlight,
-            double extraRequests) {
+    double cost(EndpointState endpoint, double requestsInFlight, double extraRequests) {
         Optional<ObservedLoad> report =
                 loads.apply(endpoint).filter(load -> load.reportedPacePercent().isPresent());
         double requests =
-                report.filter(load -> kind != RelayWorkKind.PROMPT)
-                        .map(load -> currentRequests(load, requestsInFlight))
+                report.map(load -> currentRequests(load, requestsInFlight))
                         .orElse(requestsInFlight);
-        double pace = report.map(load -> expectedPace(load, kind)).orElse(1.0);
+        double pace = report.map(CompletionEstimator::expectedPace).orElse(1.0);
         double slots = Math.max(1, endpoint.load().slots());
         double factor = slowdown.applyAsDouble(endpoint) * pace;
         return factor * (BASE_COST + (requests + extraRequests) / slots) - BASE_COST;
@@ -91,7 +82,7 @@
 
     /**
      * Combines the reported number of requests with the known work in flight, which is late as
-     * well. Not used for prompts, whose weight differs from that of a running stream.
+     * well.
      */
     private static double currentRequests(ObservedLoad load, double requestsInFlight) {
         double weight = Math.exp(-load.ageMs() / LOAD_LASTS_MS);
@@ -99,10 +90,10 @@
     }
 
     /** Returns the mean pace for the duration of the work; the usual one is 1. */
-    private static double expectedPace(ObservedLoad load, RelayWorkKind kind) {
-        double workMs = kind == RelayWorkKind.PROMPT ? PROMPT_MS : REQUEST_MS;
+    private static double expectedPace(ObservedLoad load) {
         double remaining = Math.exp(-load.ageMs() / PACE_LASTS_MS);
-        double duringWork = PACE_LASTS_MS / workMs * (1 - Math.exp(-workMs / PACE_LASTS_MS));
+        double duringWork =
+                PACE_LASTS_MS / REQUEST_MS * (1 - Math.exp(-REQUEST_MS / PACE_LASTS_MS));
         double reported = (double) load.pacePercent() / ObservedLoad.USUAL_PACE_PERCENT;
         return 1 + (reported - 1) * remaining * duringWork;
     }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/EndpointSpeeds.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/EndpointSpeeds.java
@@ -8,13 +8,13 @@
 import java.util.stream.Collectors;
 
 /**
- * Speeds of endpoints relative to the others of their service, learned from the work of this
- * instance there. Answers services whose machines differ by a factor of up to {@value
- * #MAX_SLOWDOWN}.
+ * Speeds of endpoints relative to the others of their service, learned from the durations of the
+ * plain requests of this instance there. Answers services whose machines differ by a factor of up
+ * to {@value #MAX_SLOWDOWN}.
  *
- * <p>Speeds are kept by address, because they belong to the machine: engines that crash every few
- * seconds would otherwise never be known. Logarithms are averaged, so that single long requests
- * have little effect. Thread-safe.
+ * <p>Speeds are kept by address, because they belong to the machine: endpoints that restart often
+ * would otherwise never be known. Logarithms are averaged, so that single long requests have little
+ * effect. Thread-safe.
  */
 public final class EndpointSpeeds {
 
@@ -27,35 +27,15 @@
     /** Largest weight of earlier observations, so that a change of speed is learned. */
     static final double MAX_WEIGHT = 30;
 
-    /**
-     * Largest factor to the usual duration at which the work is comparable. A stream that continues
-     * from a standby copy has its first event more than ten times earlier than others.
-     */
+    /** Largest factor to the usual duration at which the work is comparable. */
     static final double MAX_RATIO = 4;
 
     private final Map<String, Average> byAddress = new ConcurrentHashMap<>();
-    private final Map<ServiceMeasure, Average> byService = new ConcurrentHashMap<>();
-
-    /** Duration that is compared among the endpoints of a service. */
-    public enum Measure {
-        /** Time from the send to the first event of a stream; includes the wait for a slot. */
-        FIRST_EVENT(1),
-        /**
-         * Time between two events. All events of a stream together count about half of a first
-         * event, because they depend on the same other streams of the engine.
-         */
-        EVENT_GAP(0.005),
-        /** Duration of a plain request; its scatter is about as large as its mean. */
-        REQUEST(0.03);
 
-        private final double weight;
-
-        Measure(double weight) {
-            this.weight = weight;
-        }
-    }
+    /** Weight of one duration; its scatter is about as large as its mean. */
+    private static final double OBSERVED_WEIGHT = 0.03;
 
-    private record ServiceMeasure(String service, Measure measure) {}
+    private final Map<String, Average> byService = new ConcurrentHashMap<>();
 
     /** Weighted average of logarithms. */
     private record Average(double value, double weight) {
@@ -70,24 +50,23 @@
      * Records a duration.
      *
      * @param endpoint endpoint that did the work
-     * @param measure kind of duration
      * @param durationMs duration in milliseconds; less than 1 counts as 1
      */
-    public void record(EndpointState endpoint, Measure measure, double durationMs) {
+    public void record(EndpointState endpoint, double durationMs) {
         double log = Math.log(Math.max(1, durationMs));
         Average service =
                 byService.merge(
-                        new ServiceMeasure(endpoint.service(), measure),
-                        new Average(log, measure.weight),
-                        (known, first) -> known.with(log, measure.weight, 10 * MAX_WEIGHT));
+                        endpoint.service(),
+                        new Average(log, OBSERVED_WEIGHT),
+                        (known, first) -> known.with(log, OBSERVED_WEIGHT, 10 * MAX_WEIGHT));
         double difference = log - service.value();
         if (Math.abs(difference) > Math.log(MAX_RATIO)) {
             return;
         }
         byAddress.merge(
                 endpoint.address(),
-                new Average(difference, measure.weight),
-                (known, first) -> known.with(difference, measure.weight, MAX_WEIGHT));
+                new Average(difference, OBSERVED_WEIGHT),
+                (known, first) -> known.with(difference, OBSERVED_WEIGHT, MAX_WEIGHT));
     }
 
     /**
@@ -118,6 +97,6 @@
         byAddress.keySet().retainAll(addresses);
         Set<String> services =
                 known.stream().map(EndpointState::service).collect(Collectors.toSet());
-        byService.keySet().removeIf(key -> !services.contains(key.service()));
+        byService.keySet().retainAll(services);
     }
 }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/RelayPlacement.java
@@ -19,10 +19,12 @@
 /**
  * Chooses the endpoint of a relayed request and the endpoint that keeps a standby copy of it.
  *
- * <p>The cost of an endpoint is its work in flight relative to its slots, adapted by a {@link
- * CompletionEstimator} where endpoints report their pace, plus a penalty for its recent error rate.
- * Many instances decide at the same time from the same reports, so each adds jitter to every cost,
- * up to the weight of the work being placed. Without it they would all choose the same endpoint.
+ * <p>The cost of an endpoint is its work in flight relative to its slots, plus a penalty for its
+ * recent error rate. For plain requests, a {@link CompletionEstimator} adapts it where endpoints
+ * report their pace. Prompts are not placed by pace and speed: the memory of an engine holds about
+ * as many prompts as it has slots, and faster engines that were preferred ran out of it. Many
+ * instances decide at the same time from the same reports, so each adds jitter to every cost, up to
+ * the weight of the work being placed. Without it they would all choose the same endpoint.
  *
  * <p>Prompts and standby copies are placed at the cheapest of a few randomly sampled endpoints. The
  * reports of other instances are late by several dissemination hops, and prompts take an engine
@@ -178,11 +180,12 @@
     private double cost(EndpointState endpoint, RelayWorkKind kind) {
         double zoneRequests = endpoint.availabilityZone().equals(zone) ? 0 : OTHER_ZONE_COST;
         double jitterRequests = RelayWorkKind.toRequests(kind.weight()) * random.getAsDouble();
-        return completion.cost(
-                        endpoint,
-                        kind,
-                        requestsInFlight.applyAsDouble(endpoint),
-                        zoneRequests + jitterRequests)
-                + ERROR_COST * health.errorRate(endpoint.id());
+        double requests = requestsInFlight.applyAsDouble(endpoint);
+        double extraRequests = zoneRequests + jitterRequests;
+        double loadCost =
+                kind == RelayWorkKind.REQUEST
+                        ? completion.cost(endpoint, requests, extraRequests)
+                        : (requests + extraRequests) / Math.max(1, endpoint.load().slots());
+        return loadCost + ERROR_COST * health.errorRate(endpoint.id());
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/EndpointSpeedObserver.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/EndpointSpeedObserver.java
@@ -2,7 +2,6 @@
 
 import io.sapphirestack.core.relay.EndpointSignalTable;
 import io.sapphirestack.core.relay.EndpointSpeeds;
-import io.sapphirestack.core.relay.EndpointSpeeds.Measure;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.time.MillisClock;
 
@@ -27,32 +26,17 @@
             EndpointState endpoint,
             long sentAtMs) {
         if (head.isSuccess() && !request.route().kind().isStream()) {
-            record(endpoint, Measure.REQUEST, clock.nowMs() - sentAtMs);
+            record(endpoint, clock.nowMs() - sentAtMs);
         }
     }
 
-    @Override
-    public void onEvents(
-            RelayedRequest request,
-            EndpointState endpoint,
-            int events,
-            boolean first,
-            long waitedMs) {
-        if (events > 0) {
-            record(
-                    endpoint,
-                    first ? Measure.FIRST_EVENT : Measure.EVENT_GAP,
-                    first ? waitedMs : (double) waitedMs / events);
-        }
-    }
-
-    private void record(EndpointState endpoint, Measure measure, double durationMs) {
+    private void record(EndpointState endpoint, double durationMs) {
         boolean reportsPace =
                 signals.load(endpoint)
                         .filter(load -> load.reportedPacePercent().isPresent())
                         .isPresent();
         if (reportsPace) {
-            speeds.record(endpoint, measure, durationMs);
+            speeds.record(endpoint, durationMs);
         }
     }
 }
