Memory of messages is bounded by client account, unread responses end

Cause: callers of one account that do not read their responses could hold all memory of messages. Change: a lease counts against its account as well (AccountMemory, messages.account_fraction, default 0.5); a further request is refused as not run (SAP1944). TrackedSocket.unreadMs measures how long the peer does not read, with credit for 8 kB/s; the relay's listeners and the HTTP interface end such a response after 10 s and log it (SAP1941, SAP1942).

--- a/sapphire-core/src/main/java/io/sapphirestack/core/limit/ByteBudget.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/limit/ByteBudget.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.core.limit;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 
@@ -14,20 +15,37 @@
     private static final double LARGE_MESSAGES_FRACTION = 0.5;
 
     private final long capacityBytes;
+    private final AccountMemory accounts;
     private final AtomicLong reservedBytes = new AtomicLong();
     private final LongAdder failedReservations = new LongAdder();
 
     /**
-     * Creates a budget.
+     * Creates a budget of which one account may hold all.
      *
      * @param capacityBytes maximum number of bytes that may be reserved at the same time
      */
     public ByteBudget(long capacityBytes) {
+        this(capacityBytes, 1);
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param capacityBytes maximum number of bytes that may be reserved at the same time
+     * @param accountFraction part of them that the messages of one client account may hold, above 0
+     *     and at most 1
+     */
+    public ByteBudget(long capacityBytes, double accountFraction) {
         if (capacityBytes <= 0) {
             throw new IllegalArgumentException(
                     "the capacity must be positive, not " + capacityBytes + " bytes");
         }
+        if (!(accountFraction > 0 && accountFraction <= 1)) {
+            throw new IllegalArgumentException(
+                    "the fraction must be above 0 and at most 1, not " + accountFraction);
+        }
         this.capacityBytes = capacityBytes;
+        this.accounts = new AccountMemory((long) (capacityBytes * accountFraction));
     }
 
     /** Returns the number of bytes that are reserved now. */
@@ -61,6 +79,7 @@
     public final class Lease implements AutoCloseable {
 
         private long leasedBytes;
+        private Optional<String> account = Optional.empty();
 
         private Lease() {}
 
@@ -88,10 +107,32 @@
             if (!ByteBudget.this.tryReserve(bytes, limitBytes)) {
                 return false;
             }
+            if (account.isPresent() && !accounts.tryAdd(account.get(), bytes)) {
+                reservedBytes.addAndGet(-bytes);
+                failedReservations.increment();
+                return false;
+            }
             leasedBytes += bytes;
             return true;
         }
 
+        /**
+         * Counts the bytes of the message also against the limit of a client account, from now on
+         * until the lease is closed. Called at most once.
+         *
+         * @param name name of the account
+         * @return whether the bytes that the lease holds are within the limit; if not, the lease is
+         *     unchanged
+         */
+        public boolean assignTo(String name) {
+            if (!accounts.tryAdd(name, leasedBytes)) {
+                failedReservations.increment();
+                return false;
+            }
+            account = Optional.of(name);
+            return true;
+        }
+
         /**
          * Returns some bytes to the budget.
          *
@@ -104,6 +145,7 @@
             }
             leasedBytes -= bytes;
             reservedBytes.addAndGet(-bytes);
+            account.ifPresent(name -> accounts.remove(name, bytes));
         }
 
         @Override
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/MessageSettings.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/MessageSettings.java
@@ -14,8 +14,17 @@
  * @param responseLimits limits on each response of an endpoint
  * @param memoryBytes memory for the requests and responses that the instance holds at the same
  *     time, in bytes
+ * @param accountFraction part of this memory that one client account may hold, above 0 and at most
+ *     1
  */
-public record MessageSettings(ResponseLimits responseLimits, long memoryBytes) {
+public record MessageSettings(
+        ResponseLimits responseLimits, long memoryBytes, double accountFraction) {
+
+    /**
+     * Part of the memory that one account may hold unless the settings set another; the rest
+     * remains for other accounts when callers of this one do not read their responses.
+     */
+    public static final double DEFAULT_ACCOUNT_FRACTION = 0.5;
 
     /** Fraction of the heap that requests and responses may use unless the settings set another. */
     static final double DEFAULT_HEAP_FRACTION = 0.25;
@@ -27,7 +36,8 @@
                     "interim_heads",
                     "body_bytes",
                     "event_bytes",
-                    "heap_fraction");
+                    "heap_fraction",
+                    "account_fraction");
 
     /** Requires limits. */
     public MessageSettings {
@@ -38,8 +48,8 @@
      * Reads the settings; each one that is absent has its default.
      *
      * @param node object with the keys {@code line_bytes}, {@code head_bytes}, {@code
-     *     interim_heads}, {@code body_bytes}, {@code event_bytes} and {@code heap_fraction}; may be
-     *     missing
+     *     interim_heads}, {@code body_bytes}, {@code event_bytes}, {@code heap_fraction} and {@code
+     *     account_fraction}; may be missing
      * @param heapBytes maximum size of the heap, in bytes
      * @param source name of the settings for error messages
      * @return settings
@@ -61,7 +71,11 @@
                         positive(node, "interim_heads", defaults.interimHeads(), source),
                         positive(node, "body_bytes", defaults.bodyBytes(), source),
                         positive(node, "event_bytes", defaults.eventBytes(), source));
-        return new MessageSettings(limits, (long) (heapFraction(node, source) * heapBytes));
+        double heapFraction = fraction(node, "heap_fraction", DEFAULT_HEAP_FRACTION, source);
+        return new MessageSettings(
+                limits,
+                (long) (heapFraction * heapBytes),
+                fraction(node, "account_fraction", DEFAULT_ACCOUNT_FRACTION, source));
     }
 
     private static int positive(JsonNode node, String key, int defaultValue, String source)
@@ -80,14 +94,15 @@
         return new SettingsException(source, List.of(problem));
     }
 
-    private static double heapFraction(JsonNode node, String source) throws SettingsException {
-        JsonNode value = node.path("heap_fraction");
+    private static double fraction(JsonNode node, String key, double defaultValue, String source)
+            throws SettingsException {
+        JsonNode value = node.path(key);
         if (value.isMissingNode()) {
-            return DEFAULT_HEAP_FRACTION;
+            return defaultValue;
         }
         if (!value.isNumber() || value.asDouble() <= 0 || value.asDouble() > 1) {
             throw invalid(
-                    source, "messages.heap_fraction must be above 0 and at most 1, not " + value);
+                    source, "messages." + key + " must be above 0 and at most 1, not " + value);
         }
         return value.asDouble();
     }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -159,7 +159,9 @@
                         this::liveInstanceCount,
                         service -> disseminationParts.retryBudgetUse().read().of(service),
                         clock);
-        this.messageMemory = new ByteBudget(settings.messages().memoryBytes());
+        this.messageMemory =
+                new ByteBudget(
+                        settings.messages().memoryBytes(), settings.messages().accountFraction());
         this.endpointRegistry =
                 new EndpointRegistry(
                         blackboard.endpoints(), name -> Optional.empty(), new PrefixIndex(), clock);
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/MessageSettingsTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/MessageSettingsTests.java
@@ -24,7 +24,7 @@
         MessageSettings settings =
                 MessageSettings.read(
                         MAPPER.readTree("{}").path("messages"), 1_000, "settings.json");
-        assertThat(settings).isEqualTo(new MessageSettings(ResponseLimits.DEFAULT, 250));
+        assertThat(settings).isEqualTo(new MessageSettings(ResponseLimits.DEFAULT, 250, 0.5));
     }
 
     @Test
@@ -32,8 +32,9 @@
         MessageSettings settings =
                 read(
                         "{\"line_bytes\":1,\"head_bytes\":2,\"interim_heads\":3,\"body_bytes\":4,"
-                                + "\"event_bytes\":5,\"heap_fraction\":0.5}");
-        assertThat(settings).isEqualTo(new MessageSettings(new ResponseLimits(1, 2, 3, 4, 5), 500));
+                                + "\"event_bytes\":5,\"heap_fraction\":0.5,\"account_fraction\":0.25}");
+        assertThat(settings)
+                .isEqualTo(new MessageSettings(new ResponseLimits(1, 2, 3, 4, 5), 500, 0.25));
     }
 
     @ParameterizedTest
@@ -45,7 +46,9 @@
                 "{\"body_bytes\":\"4\"} | body_bytes",
                 "{\"event_bytes\":1.5} | event_bytes",
                 "{\"heap_fraction\":0} | heap_fraction",
-                "{\"heap_fraction\":1.1} | heap_fraction"
+                "{\"heap_fraction\":1.1} | heap_fraction",
+                "{\"account_fraction\":0} | account_fraction",
+                "{\"account_fraction\":1.1} | account_fraction"
             })
     void invalidSettingIsNamed(String json, String key) {
         assertThatThrownBy(() -> read(json))
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/TrackedSocket.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/TrackedSocket.java
@@ -10,9 +10,9 @@
 import java.net.SocketTimeoutException;
 
 /**
- * Socket that measures the duration of its current write, and whose reads can be guarded. Blocking
- * writes have no timeout, so a peer that never reads would block its thread forever; the duration
- * lets another thread close the socket. As thread-safe as {@link Socket}.
+ * Socket that measures for how long its peer does not read, and whose reads can be guarded.
+ * Blocking writes have no timeout, so a peer that never reads would block its thread forever; the
+ * duration lets another thread close the socket. As thread-safe as {@link Socket}.
  */
 public final class TrackedSocket extends Socket {
 
@@ -25,14 +25,26 @@
      */
     static final int MAX_TRANSFER_BYTES = 4_096;
 
-    private volatile long writeStartedNanos;
+    /**
+     * Rate below which a peer counts as one that does not read, in bytes per millisecond: 64 kbit/s
+     * is little beside the 5 Mbit/s of the slowest machine.
+     */
+    private static final long MIN_READ_BYTES_PER_MS = 8;
+
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    private volatile long unreadSinceNanos;
     private volatile boolean writeInProgress;
     private GuardedInputStream input;
 
-    /** Returns the duration of the current write in milliseconds; 0 if no write is in progress. */
-    public long writeDurationMs() {
-        long startedNanos = writeStartedNanos;
-        return writeInProgress ? (System.nanoTime() - startedNanos) / 1_000_000 : 0;
+    /**
+     * Returns for how long the peer has not read the current write, in milliseconds; 0 if no write
+     * is in progress. Each byte that was taken shortens it, so that a long response to a slow peer
+     * is not ended while it is read, but one that is read byte by byte is.
+     */
+    public long unreadMs() {
+        long sinceNanos = unreadSinceNanos;
+        return writeInProgress ? Math.max(0, (System.nanoTime() - sinceNanos) / NANOS_PER_MS) : 0;
     }
 
     /**
@@ -103,16 +115,24 @@
 
         @Override
         public void write(byte[] bytes, int offset, int length) throws IOException {
-            writeStartedNanos = System.nanoTime();
+            unreadSinceNanos = System.nanoTime();
             writeInProgress = true;
             try {
                 for (int written = 0; written < length; written += MAX_TRANSFER_BYTES) {
                     int part = Math.min(MAX_TRANSFER_BYTES, length - written);
                     out.write(bytes, offset + written, part);
+                    countTaken(part);
                 }
             } finally {
                 writeInProgress = false;
             }
         }
+
+        /** Bytes that a socket buffer took at once give no credit for the time after them. */
+        private void countTaken(int bytes) {
+            long nowNanos = System.nanoTime();
+            long creditNanos = bytes * NANOS_PER_MS / MIN_READ_BYTES_PER_MS;
+            unreadSinceNanos += Math.min(creditNanos, nowNanos - unreadSinceNanos);
+        }
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpConnection.java
@@ -167,8 +167,8 @@
 
     /** Closes the connection if its current write has lasted longer than the limit. */
     void closeIfWriteStalled(long limitMs) {
-        long durationMs = socket.writeDurationMs();
-        if (durationMs > limitMs) {
+        long unreadMs = socket.unreadMs();
+        if (unreadMs > limitMs) {
             LOG.warn(
                     "SAP1942",
                     "A caller of the HTTP interface did not read its response; its connection is"
@@ -176,7 +176,7 @@
                     "caller",
                     socket.getRemoteSocketAddress(),
                     "unreadMs",
-                    durationMs);
+                    unreadMs);
             connection.close(CloseMode.IMMEDIATE);
         }
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
@@ -37,7 +37,7 @@
 
     // The connection of a caller that reads nothing for this long is closed. The caller can resume
     // its generation by the identifier.
-    private static final long WRITE_TIMEOUT_MS = 30_000;
+    private static final long WRITE_TIMEOUT_MS = 10_000;
     private static final long SWEEP_INTERVAL_MS = 1_000;
 
     // Each connection keeps its buffers until it is closed, so 1,024 idle connections hold 4 MB.
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
@@ -275,15 +275,15 @@
      * @param writeTimeoutMs longest time for one write, in milliseconds
      */
     void closeIfWriteTimedOut(long writeTimeoutMs) {
-        long durationMs = socket.writeDurationMs();
-        if (durationMs > writeTimeoutMs) {
+        long unreadMs = socket.unreadMs();
+        if (unreadMs > writeTimeoutMs) {
             LOG.warn(
                     "SAP1941",
                     "A caller did not read its response; its connection is closed",
                     "caller",
                     socket.getRemoteSocketAddress(),
                     "unreadMs",
-                    durationMs);
+                    unreadMs);
             connection.close(CloseMode.IMMEDIATE);
         }
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -26,6 +26,9 @@
     /** Retry-After of an instance that has no traffic plan yet or is stopping, in milliseconds. */
     private static final long NOT_SERVING_RETRY_AFTER_MS = 400;
 
+    /** Retry-After of a request whose account holds its part of the memory, in milliseconds. */
+    private static final long MEMORY_RETRY_AFTER_MS = 1_000;
+
     private final RelayContext context;
     private final UpstreamPool pool;
     private final StartupWaiter startupWaiter;
@@ -120,6 +123,10 @@
             send(exchange, RelayResponse.generated(401, "the API key is unknown"));
             return;
         }
+        if (account.isPresent() && !exchange.memory().assignTo(account.get().name())) {
+            refuseForMemory(exchange, account.get().name());
+            return;
+        }
         relay(createRelayedRequest(exchange, plan.get(), route.get(), account, callerTimeoutMs));
     }
 
@@ -142,6 +149,24 @@
         send(exchange, RelayResponse.notRun(reason, NOT_SERVING_RETRY_AFTER_MS));
     }
 
+    /** Refuses a request of an account whose requests and unread responses hold its memory. */
+    private void refuseForMemory(HttpServerExchange exchange, String account) throws IOException {
+        LOG.info(
+                "SAP1944",
+                "A request was refused before it ran because its account holds its part of the"
+                        + " memory",
+                "request",
+                exchange.header(context.headers().requestId()).orElse(""),
+                "account",
+                account,
+                "retryAfterMs",
+                MEMORY_RETRY_AFTER_MS,
+                "ageMs",
+                context.clock().nowMs() - exchange.receivedAtMs());
+        String reason = "the instance has no memory for further requests of the account";
+        send(exchange, RelayResponse.notRun(reason, MEMORY_RETRY_AFTER_MS));
+    }
+
     private Optional<TrafficPlan> awaitPlan(HttpServerExchange exchange, long callerTimeoutMs)
             throws IOException {
         try {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/TrackedSocketTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/TrackedSocketTests.java
@@ -7,12 +7,14 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -25,6 +27,12 @@
 @Timeout(60)
 class TrackedSocketTests {
 
+    /** More than the socket buffers of both sides take. */
+    private static final int UNREAD_BYTES = 32 * 1024 * 1024;
+
+    /** Longer than a pause between two parts that the socket buffers take. */
+    private static final long UNREAD_MS = 500;
+
     private static final int THREADS = 40;
     private static final int MESSAGE_BYTES = 1_000_000;
     private static final long MAX_BYTES_PER_THREAD = 8 * 1024;
@@ -108,4 +116,24 @@
             throw new IllegalStateException("the message cannot be sent", e);
         }
     }
+
+    /** A caller that reads nothing held its response and the thread of its connection. */
+    @Test
+    void writeThatThePeerDoesNotReadIsMeasured() throws Exception {
+        try (TrackedServerSocket server = TrackedServerSocket.bind("127.0.0.1:0");
+                Socket peer = new Socket(server.getInetAddress(), server.getLocalPort());
+                TrackedSocket own = server.accept()) {
+            CompletableFuture<Void> sent =
+                    CompletableFuture.runAsync(() -> write(own, new byte[UNREAD_BYTES]));
+            long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            while (own.unreadMs() < UNREAD_MS && System.nanoTime() < endNs) {
+                Thread.onSpinWait();
+            }
+            assertThat(own.unreadMs()).isGreaterThanOrEqualTo(UNREAD_MS);
+            assertThat(sent).isNotDone();
+            peer.getInputStream().readNBytes(UNREAD_BYTES);
+            sent.get(20, TimeUnit.SECONDS);
+            assertThat(own.unreadMs()).isZero();
+        }
+    }
 }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayListenerTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayListenerTests.java
@@ -9,7 +9,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
@@ -25,8 +27,16 @@
 class RelayListenerTests {
 
     private static final int READ_TIMEOUT_MS = 20_000;
+
+    /** More than the socket buffers of both sides take. */
+    private static final int UNREAD_BYTES = 32 * 1024 * 1024;
+
+    private static final long UNREAD_MEMORY_BYTES = 500_000;
+
     private static final byte[] BODY = "no route matches".getBytes(StandardCharsets.US_ASCII);
 
+    private final ByteBudget memory = new ByteBudget(1_000_000);
+
     @Test
     void connectionsAreAcceptedAfterOneThatCouldNotBeServed() throws Exception {
         AtomicInteger calls = new AtomicInteger();
@@ -68,7 +78,36 @@
                 exchange -> exchange.sendStream(200, List.of(), out -> out.write(BODY)), 200);
     }
 
-    private static void assertNextResponseIsWhole(HttpServerExchange.Handler handler, int status)
+    /** A caller that reads nothing held the memory of its response as long as it liked. */
+    @Test
+    void responseThatStaysUnreadIsEndedAndItsMemoryReturned() throws Exception {
+        ScheduledExecutorService scheduler = DaemonThreads.scheduler("test", 1);
+        CountDownLatch ended = new CountDownLatch(1);
+        HttpServerExchange.Handler handler =
+                exchange -> {
+                    assertThat(exchange.memory().tryReserve(UNREAD_MEMORY_BYTES)).isTrue();
+                    try {
+                        exchange.sendResponse(200, List.of(), new byte[UNREAD_BYTES]);
+                    } finally {
+                        ended.countDown();
+                    }
+                };
+        try (RelayListener listener = listener(handler, () -> CallerLimits.DEFAULT);
+                Socket socket = connect(listener)) {
+            listener.start(scheduler);
+            request(socket, "GET");
+            assertThat(ended.await(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+            long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MS);
+            while (memory.reservedBytes() > 0 && System.nanoTime() < endNs) {
+                Thread.onSpinWait();
+            }
+            assertThat(memory.reservedBytes()).isZero();
+        } finally {
+            scheduler.shutdownNow();
+        }
+    }
+
+    private void assertNextResponseIsWhole(HttpServerExchange.Handler handler, int status)
             throws Exception {
         ScheduledExecutorService scheduler = DaemonThreads.scheduler("test", 1);
         try (RelayListener listener = listener(handler, () -> CallerLimits.DEFAULT);
@@ -89,16 +128,10 @@
         }
     }
 
-    private static RelayListener listener(
+    private RelayListener listener(
             HttpServerExchange.Handler handler, Supplier<CallerLimits> limits) throws Exception {
         return new RelayListener(
-                "test",
-                "127.0.0.1:0",
-                10,
-                handler,
-                limits,
-                new ByteBudget(1_000_000),
-                MillisClock.monotonic());
+                "test", "127.0.0.1:0", 10, handler, limits, memory, MillisClock.monotonic());
     }
 
     private static Socket connect(RelayListener listener) throws Exception {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -53,7 +53,11 @@
     private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
     private final AtomicReference<Optional<TrafficPlan>> plan =
             new AtomicReference<>(Optional.empty());
-    private final ByteBudget memory = new ByteBudget(MEMORY_BYTES);
+
+    /** Part of the memory that one account may hold. */
+    static final double ACCOUNT_FRACTION = 0.5;
+
+    private final ByteBudget memory = new ByteBudget(MEMORY_BYTES, ACCOUNT_FRACTION);
     private final EndpointTable table;
     private final AtomicReference<EndpointTable> known;
     private final TrafficRelay relay;
@@ -204,6 +208,10 @@
         return call(request(method, path, "Connection: close\r\n", body));
     }
 
+    ByteBudget memory() {
+        return memory;
+    }
+
     /** Returns the memory that requests and responses hold now, in bytes. */
     long reservedBytes() {
         return memory.reservedBytes();
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -6,6 +6,7 @@
 import static io.sapphirestack.runtime.relay.ScriptedEndpoint.write;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sapphirestack.core.limit.ByteBudget;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -182,6 +183,25 @@
         }
     }
 
+    /** Responses that the callers of one account do not read would take the memory of all. */
+    @Test
+    void requestOfAnAccountThatHoldsItsPartOfTheMemoryIsRefusedAsNotRun() throws Exception {
+        try (ScriptedEndpoint endpoint = respondingEndpoint("e1", "ok");
+                RelayTestBed testBed = new RelayTestBed(endpoint).withTrafficPlan()) {
+            long partBytes = (long) (RelayTestBed.memoryBytes() * RelayTestBed.ACCOUNT_FRACTION);
+            try (ByteBudget.Lease unread = testBed.memory().newLease()) {
+                assertThat(unread.assignTo("shop")).isTrue();
+                assertThat(unread.tryReserve(partBytes)).isTrue();
+                String refusal = testBed.call("GET", "/read/1", "");
+                assertThat(status(refusal)).isEqualTo(503);
+                assertThat(refusal).contains("Retry-After").contains("account");
+                assertThat(endpoint.received()).isEmpty();
+            }
+            assertThat(status(testBed.call("GET", "/read/1", ""))).isEqualTo(200);
+            assertThat(testBed.reservedBytes()).isZero();
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"/none/, k1, 404", "/read/, wrong, 401"})
     void unknownRouteOrKeyIsRefused(String path, String key, int status) throws Exception {
