--- a/sapphire-core/src/main/java/io/sapphirestack/core/limit/ByteBudget.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/limit/ByteBudget.java
@@ -1,6 +1,8 @@
 package io.sapphirestack.core.limit;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Limits the bytes of messages that one instance holds in memory at the same time. Each message
@@ -9,20 +11,41 @@
  */
 public final class ByteBudget {
 
+    /** Part of the budget that large messages may fill; the rest is left to small ones. */
+    private static final double LARGE_MESSAGES_FRACTION = 0.5;
+
     private final long capacityBytes;
+    private final AccountMemory accounts;
     private final AtomicLong reservedBytes = new AtomicLong();
+    private final LongAdder failedReservations = new LongAdder();
 
     /**
-     * Creates a budget.
+     * Creates a budget of which one account may hold all.
      *
      * @param capacityBytes maximum number of bytes that may be reserved at the same time
      */
     public ByteBudget(long capacityBytes) {
+        this(capacityBytes, 1);
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param capacityBytes maximum number of bytes that may be reserved at the same time
+     * @param accountFraction part of them that the messages of one client account may hold, above 0
+     *     and at most 1
+     */
+    public ByteBudget(long capacityBytes, double accountFraction) {
         if (capacityBytes <= 0) {
             throw new IllegalArgumentException(
                     "the capacity must be positive, not " + capacityBytes + " bytes");
         }
+        if (!(accountFraction > 0 && accountFraction <= 1)) {
+            throw new IllegalArgumentException(
+                    "the fraction must be above 0 and at most 1, not " + accountFraction);
+        }
         this.capacityBytes = capacityBytes;
+        this.accounts = new AccountMemory((long) (capacityBytes * accountFraction));
     }
 
     /** Returns the number of bytes that are reserved now. */
@@ -30,16 +53,22 @@
         return reservedBytes.get();
     }
 
+    /** Returns the number of reservations that found no memory. */
+    public long failedReservations() {
+        return failedReservations.sum();
+    }
+
     /** Returns a lease that has no bytes yet. */
     public Lease newLease() {
         return new Lease();
     }
 
-    private boolean tryReserve(long bytes) {
-        if (reservedBytes.addAndGet(bytes) <= capacityBytes) {
+    private boolean tryReserve(long bytes, long limitBytes) {
+        if (reservedBytes.addAndGet(bytes) <= limitBytes) {
             return true;
         }
         reservedBytes.addAndGet(-bytes);
+        failedReservations.increment();
         return false;
     }
 
@@ -50,6 +79,7 @@
     public final class Lease implements AutoCloseable {
 
         private long leasedBytes;
+        private Optional<String> account = Optional.empty();
 
         private Lease() {}
 
@@ -60,13 +90,49 @@
          * @return whether they were available; if not, the lease is unchanged
          */
         public boolean tryReserve(long bytes) {
-            if (!ByteBudget.this.tryReserve(bytes)) {
+            return tryReserve(bytes, capacityBytes);
+        }
+
+        /**
+         * Takes bytes for a large message, as long as half of the budget remains for others.
+         *
+         * @param bytes number of bytes, not negative
+         * @return whether they were available; if not, the lease is unchanged
+         */
+        public boolean tryReserveLarge(long bytes) {
+            return tryReserve(bytes, (long) (capacityBytes * LARGE_MESSAGES_FRACTION));
+        }
+
+        private boolean tryReserve(long bytes, long limitBytes) {
+            if (!ByteBudget.this.tryReserve(bytes, limitBytes)) {
+                return false;
+            }
+            if (account.isPresent() && !accounts.tryAdd(account.get(), bytes)) {
+                reservedBytes.addAndGet(-bytes);
+                failedReservations.increment();
                 return false;
             }
             leasedBytes += bytes;
             return true;
         }
 
+        /**
+         * Counts the bytes of the message also against the limit of a client account, from now on
+         * until the lease is closed. Called at most once.
+         *
+         * @param name name of the account
+         * @return whether the bytes that the lease holds are within the limit; if not, the lease is
+         *     unchanged
+         */
+        public boolean assignTo(String name) {
+            if (!accounts.tryAdd(name, leasedBytes)) {
+                failedReservations.increment();
+                return false;
+            }
+            account = Optional.of(name);
+            return true;
+        }
+
         /**
          * Returns some bytes to the budget.
          *
@@ -79,6 +145,7 @@
             }
             leasedBytes -= bytes;
             reservedBytes.addAndGet(-bytes);
+            account.ifPresent(name -> accounts.remove(name, bytes));
         }
 
         @Override
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -156,7 +156,9 @@
                         service -> disseminationParts.retryBudgetUse().read().of(service),
                         clock);
         this.knowledge = EndpointKnowledge.empty(settings.signals(), random.nextLong(), clock);
-        this.messageMemory = new ByteBudget(settings.messages().memoryBytes());
+        this.messageMemory =
+                new ByteBudget(
+                        settings.messages().memoryBytes(), settings.messages().accountFraction());
         this.endpointRegistry =
                 new EndpointRegistry(
                         blackboard.endpoints(), name -> Optional.empty(), new PrefixIndex(), clock);
@@ -308,6 +310,10 @@
                 "sapphire_message_memory_bytes",
                 "Memory of the requests and responses that this instance holds, in bytes.",
                 messageMemory::reservedBytes);
+        metrics.registerGauge(
+                "sapphire_failed_memory_reservations",
+                "Reservations of message memory that found none.",
+                messageMemory::failedReservations);
         metrics.registerGauge(
                 "sapphire_peer_transferred_bytes",
                 "Bytes sent to and received from other instances.",
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -34,6 +34,9 @@
     /** Maximum number of orders for standby copies that run at the same time. */
     private static final int MAX_COPY_ORDERS = 8;
 
+    /** Retry-After of a request whose account holds its part of the memory, in milliseconds. */
+    private static final long MEMORY_RETRY_AFTER_MS = 1_000;
+
     private final RelayContext context;
     private final UpstreamPool pool;
     private final ThreadPoolExecutor copyOrders;
@@ -134,6 +137,10 @@
             send(exchange, RelayResponse.generated(401, "the API key is unknown"));
             return;
         }
+        if (account.isPresent() && !exchange.memory().assignTo(account.get().name())) {
+            refuseForMemory(exchange, account.get().name());
+            return;
+        }
         relay(createRelayedRequest(exchange, plan.get(), route.get(), account, callerTimeoutMs));
     }
 
@@ -156,6 +163,24 @@
         send(exchange, RelayResponse.notRun(reason, NOT_SERVING_RETRY_AFTER_MS));
     }
 
+    /** Refuses a request of an account whose requests and unread responses hold its memory. */
+    private void refuseForMemory(HttpServerExchange exchange, String account) throws IOException {
+        LOG.info(
+                "SAP1944",
+                "A request was refused before it ran because its account holds its part of the"
+                        + " memory",
+                "request",
+                exchange.header(context.headers().requestId()).orElse(""),
+                "account",
+                account,
+                "retryAfterMs",
+                MEMORY_RETRY_AFTER_MS,
+                "ageMs",
+                context.clock().nowMs() - exchange.receivedAtMs());
+        String reason = "the instance has no memory for further requests of the account";
+        send(exchange, RelayResponse.notRun(reason, MEMORY_RETRY_AFTER_MS));
+    }
+
     private Optional<TrafficPlan> awaitPlan(HttpServerExchange exchange, long callerTimeoutMs)
             throws IOException {
         try {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -62,7 +62,11 @@
     private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
     private final AtomicReference<Optional<TrafficPlan>> plan =
             new AtomicReference<>(Optional.empty());
-    private final ByteBudget memory = new ByteBudget(MEMORY_BYTES);
+
+    /** Part of the memory that one account may hold. */
+    static final double ACCOUNT_FRACTION = 0.5;
+
+    private final ByteBudget memory = new ByteBudget(MEMORY_BYTES, ACCOUNT_FRACTION);
     private final Map<EndpointId, ObservedLoad> loads = new ConcurrentHashMap<>();
     private final AtomicReference<Map<String, RolloutSpec>> rollouts =
             new AtomicReference<>(Map.of());
@@ -271,6 +275,10 @@
         return call(request(method, path, "Connection: close\r\n", body));
     }
 
+    ByteBudget memory() {
+        return memory;
+    }
+
     /** Returns the memory that requests and responses hold now, in bytes. */
     long reservedBytes() {
         return memory.reservedBytes();
