An order read after a pause of the instance is not sent after its deadline

Cause: a frozen instance read, when it continued, an order that had arrived meanwhile as if it were new, and sent it 4.5 s after the deadline of its caller, who could have sent it elsewhere again. Change: ProcessPauseDetector notices that no tick ran for 500 ms; a request read until 500 ms after that counts as received when the pause began. What may have passed its deadline is refused as not run, the rest is sent with the time that is left.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -8,6 +8,7 @@
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.relay.TrafficRoute;
 import io.sapphirestack.core.routing.EndpointState;
+import io.sapphirestack.core.time.ProcessPauseDetector;
 import io.sapphirestack.runtime.concurrent.WorkerPools;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.IOException;
@@ -41,6 +42,7 @@
     private final UpstreamPool pool;
     private final ThreadPoolExecutor copyOrders;
     private final StartupWaiter startupWaiter;
+    private final ProcessPauseDetector pauses;
     private final CrashGuard crashGuard;
     private final PlainRelay plainRelay;
     private final StreamRelay streamRelay;
@@ -57,6 +59,7 @@
     public TrafficRelay(RelayContext context) {
         this.context = Objects.requireNonNull(context, "context");
         this.pool = new UpstreamPool(context.responseLimits(), context.clock());
+        this.pauses = new ProcessPauseDetector(context.clock());
         this.startupWaiter = new StartupWaiter(context.clock(), refusing::get);
         this.copyOrders = WorkerPools.createRejecting("copy-order", MAX_COPY_ORDERS);
         RelayComponents components =
@@ -102,10 +105,19 @@
     }
 
     /**
-     * Ends the sends to endpoints whose request has passed its deadline. Called about every 100 ms.
+     * Ends the sends to endpoints whose request has passed its deadline, and notices that the
+     * process was paused. Called about every 100 ms.
      */
     public void closeOverdueSends() {
         pool.closeOverdueSends();
+        long pauseMs = pauses.tick();
+        if (pauseMs > 0) {
+            LOG.warn(
+                    "SAP1971",
+                    "The process was paused; requests that are read now may have arrived meanwhile",
+                    "pauseMs",
+                    pauseMs);
+        }
     }
 
     @Override
@@ -206,7 +218,7 @@
             OptionalLong callerTimeoutMs) {
         RelayHeaders headers = context.headers();
         long ownDeadlineAtMs =
-                exchange.receivedAtMs()
+                pauses.earliestArrivalMs(exchange.receivedAtMs())
                         + Math.min(callerTimeoutMs.orElse(route.timeoutMs()), route.timeoutMs());
         RelayedService service =
                 plan.service(route.pickService(ThreadLocalRandom.current().nextDouble()))
@@ -233,6 +245,15 @@
     }
 
     private void relay(RelayedRequest request) throws IOException {
+        if (request.remainingMs(context.clock()) <= 0) {
+            // The caller may have left and sent the request elsewhere.
+            sendPlainResponse(
+                    request,
+                    RelayResponse.notRun(
+                            "the deadline may have passed while the instance was paused",
+                            NOT_SERVING_RETRY_AFTER_MS));
+            return;
+        }
         try (RequestAdmission.Admission admitted = admission.admit(request)) {
             if (request.route().kind().isStream()) {
                 streamRelay.relay(request);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -45,6 +45,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -58,7 +59,8 @@
     /** Message memory, in bytes: a quarter of the heap of deploy/system.toml. */
     private static final long MEMORY_BYTES = 32L * 1024 * 1024;
 
-    private final MillisClock clock = MillisClock.monotonic();
+    private final AtomicLong clockOffsetMs = new AtomicLong();
+    private final MillisClock clock = pausableClock();
     private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
     private final AtomicReference<Optional<TrafficPlan>> plan =
             new AtomicReference<>(Optional.empty());
@@ -181,6 +183,16 @@
         return this;
     }
 
+    private MillisClock pausableClock() {
+        MillisClock monotonic = MillisClock.monotonic();
+        return () -> monotonic.nowMs() + clockOffsetMs.get();
+    }
+
+    /** Moves the clock forward, as if the process had not run meanwhile. */
+    void pauseProcess(long durationMs) {
+        clockOffsetMs.addAndGet(durationMs);
+    }
+
     /** Sets the load that an endpoint reports. */
     RelayTestBed withLoad(ScriptedEndpoint endpoint, ObservedLoad load) {
         loads.put(endpoint.state().id(), load);
