--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/StandbyCopyTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/StandbyCopyTests.java
@@ -21,7 +21,8 @@
     @Test
     void lostStandbyCopyIsReplacedAndTheStreamContinuesFromIt() throws Exception {
         CountDownLatch begun = new CountDownLatch(1);
-        CountDownLatch ordered = new CountDownLatch(1);
+        // The second order renews the copy, so the first one has been recorded by then.
+        CountDownLatch ordered = new CountDownLatch(2);
         AtomicReference<String> order = new AtomicReference<>("");
         try (ScriptedEndpoint running =
                         new ScriptedEndpoint(
@@ -44,8 +45,6 @@
                                         begun.countDown();
                                         ordered.await(100, TimeUnit.MILLISECONDS);
                                     }
-                                    // The copy is recorded when its order has been answered.
-                                    Thread.sleep(300);
                                     throw new IllegalStateException("the engine crashes");
                                 });
                 ScriptedEndpoint lost = ScriptedEndpoint.notReading("e2", "z2");
