Heads: bytes between requests no longer take memory that is never returned

Cause: the meter kept counting after the trailer of a chunked body, also an empty one. The first bytes of the next request on the connection were reserved on the closed lease of the previous one, 8 bytes for each, and never returned. Ordinary callers with chunked bodies on reused connections would have used up the budget, after which every request is refused.

Change: counting ends with the empty line of the trailer and, in all other cases, with the message (HeadMeter.endMessage).

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/HeadMeter.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/HeadMeter.java
@@ -76,6 +76,14 @@
         reservedBytes = 0;
     }
 
+    /**
+     * Ends the message, whose lease its owner closes. What arrives until the next message is
+     * counted with that one; a closed lease would not return it.
+     */
+    public void endMessage() {
+        counting = false;
+    }
+
     /**
      * Begins to count the lines of a head or trailer.
      *
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/TrailerInputBuffer.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/TrailerInputBuffer.java
@@ -35,7 +35,12 @@
         if (linesSinceData == FRAMING_LINES + 1) {
             meter.beginLines(buffer.length());
         }
-        return super.readLine(line, in);
+        int count = super.readLine(line, in);
+        if (count <= 0) {
+            // The trailer has ended; what follows belongs to the next request.
+            meter.endLines(buffer.length());
+        }
+        return count;
     }
 
     @Override
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpConnection.java
@@ -100,6 +100,8 @@
             headMeter.startMessage(lease);
             RequestMemory.set(context, lease);
             service.handleRequest(connection, context);
+        } finally {
+            headMeter.endMessage();
         }
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CallerConnection.java
@@ -158,6 +158,8 @@
             }
             handler.handle(exchange.get());
             return exchange.get().keepAlive && connection.isOpen();
+        } finally {
+            headMeter.endMessage();
         }
     }
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/HeadMeterTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/HeadMeterTests.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against header lines that take memory outside the budget, or that never return it. */
 @Timeout(30)
@@ -132,4 +133,46 @@
         assertThat(receive(head).leftBytes()).isGreaterThan(2 * 12_000);
         assertThat(memory.reservedBytes()).isZero();
     }
+
+    /**
+     * Guards against bytes of the next request that are reserved on the closed lease of a chunked
+     * one, and never returned.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "t: trailer\r\n"})
+    void bytesBetweenRequestsTakeNoMemory(String trailer) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                TrackedSocket socket = new TrackedSocket();
+                HeadMeter meter = new HeadMeter(memory, MAX_HEAD_BYTES)) {
+            socket.connect(server.getLocalSocketAddress());
+            try (Socket peer = server.accept()) {
+                MeteredServerConnection connection =
+                        new MeteredServerConnection(
+                                socket, Http1Config.custom().setBufferSize(4_096).build(), meter);
+                send(
+                        peer,
+                        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                                + trailer
+                                + "\r\n");
+                try (ByteBudget.Lease lease = memory.newLease()) {
+                    meter.startMessage(lease);
+                    ClassicHttpRequest request = connection.receiveRequestHeader();
+                    connection.receiveRequestEntity(request);
+                    request.getEntity().writeTo(new ByteArrayOutputStream());
+                }
+                assertThat(memory.reservedBytes()).isZero();
+
+                send(peer, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+                assertThat(
+                                connection.isDataAvailable(
+                                        org.apache.hc.core5.util.Timeout.ofSeconds(5)))
+                        .isTrue();
+                assertThat(memory.reservedBytes()).isZero();
+            }
+        }
+    }
+
+    private static void send(Socket peer, String text) throws IOException {
+        peer.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
 }
