Rollouts: an order for the adopted version changes nothing

Cause: an order for a version that was already adopted, with another deadline, started a new rollout. The old versions stay excluded and the adopted one got the share of the first stage, 1%, so nearly all requests of the service had no endpoint until shortly before the deadline.

Change: such an order is acknowledged as a repeat.

Tests: RolloutOrderTests with the new case, RolloutServiceTests and PlatformRolloutTests pass. The new case was not run on the old code.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/rollout/RolloutOrder.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/rollout/RolloutOrder.java
@@ -52,7 +52,9 @@
     /**
      * Decides what happens to this order. An operator repeats an order whose response was lost, so
      * an equal one is a repeat until its deadline even if the rollout has ended early. After the
-     * deadline, an equal order for a withdrawn version starts another rollout.
+     * deadline, an equal order for a withdrawn version starts another rollout. An order for the
+     * adopted version changes nothing, whatever its deadline: the version serves all requests, and
+     * its first stage would leave most of them without an endpoint.
      *
      * @param last last rollout of the service, empty if there was none
      * @param nowMs current time, in Unix milliseconds
@@ -69,7 +71,7 @@
             return equal ? Decision.REPEATED : Decision.CONFLICT;
         }
         boolean adopted = rollout.state() == RolloutState.ADOPTED;
-        boolean repeated = equal && (adopted || nowMs < rollout.deadlineAtMs());
+        boolean repeated = sameVersion && adopted || equal && nowMs < rollout.deadlineAtMs();
         return repeated ? Decision.REPEATED : Decision.START;
     }
 
--- a/sapphire-core/src/test/java/io/sapphirestack/core/rollout/RolloutOrderTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/rollout/RolloutOrderTests.java
@@ -22,8 +22,9 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
- * Guards against a repeated order that is refused or starts a second rollout, and against endpoints
- * of a version that must not be used.
+ * Guards against a repeated order that is refused or starts a second rollout, against an order that
+ * takes the endpoints of the only version in use, and against endpoints of a version that must not
+ * be used.
  */
 class RolloutOrderTests {
 
@@ -48,6 +49,7 @@
         "WITHDRAWN, v2, 1000, 1000, START",
         "WITHDRAWN, v3, 1000, 600, START",
         "ADOPTED, v2, 1000, 5000, REPEATED",
+        "ADOPTED, v2, 2000, 600, REPEATED",
         "ADOPTED, v1, 1000, 600, START"
     })
     void orderAfterAnotherIsARepeatAConflictOrANewStart(
