HTTP interface: a body that stops arriving gets 408 at once

Cause: a body that stopped was reported as 500 and SAP1205 at level error, and a slow or stopped body delayed its response by up to 15 s more, because the rest of it was awaited; the second time-out lost the response.

Change: both are refused with 408 body_timeout, as docs/daemon.md says, and the rest is not awaited. A rest that does not arrive after another response no longer loses that response.

Tests: AdmissionHttpTests.bodyThatStopsArrivingIsRefusedAsNotExecuted failed on the old code (no response within 25 s); AdmissionHttpTests 16 of 16, GenerationHttpTests 14 of 14 pass.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
@@ -9,6 +9,7 @@
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Locale;
@@ -45,6 +46,8 @@
     /** Longest time in which a body arrives or the rest of one is discarded, in milliseconds. */
     private static final long BODY_TIMEOUT_MS = 15_000;
 
+    private static final int BODY_TIMEOUT_STATUS = 408;
+
     private final RouteTable routes;
     private final FrontendServices services;
     private final int maxBodyBytes;
@@ -196,6 +199,8 @@
                 throw bodyTooLarge();
             }
             throw new RefusedException(RequestMemory.refusalOf(e.limit()));
+        } catch (SocketTimeoutException e) {
+            throw bodyTimeout(e);
         }
     }
 
@@ -207,14 +212,22 @@
         for (int read = in.read(chunk); read >= 0; read = in.read(chunk)) {
             body.append(chunk, 0, read);
             if (services.clock().nowMs() > endsAtMs) {
-                throw new RefusedException(
-                        Refusal.notExecuted(
-                                408, "body_timeout", "parse", "The body arrived too slowly."));
+                throw new SocketTimeoutException("the body arrived too slowly");
             }
         }
         return body.detach();
     }
 
+    private static RefusedException bodyTimeout(SocketTimeoutException cause) {
+        return new RefusedException(
+                Refusal.notExecuted(
+                        BODY_TIMEOUT_STATUS,
+                        "body_timeout",
+                        "parse",
+                        "The body arrived too slowly."),
+                cause);
+    }
+
     private RefusedException bodyTooLarge() {
         return tooLarge("The request body exceeds the limit of " + maxBodyBytes + " bytes.");
     }
@@ -227,7 +240,7 @@
             throws HttpException, IOException {
         ClassicHttpResponse httpResponse = new BasicClassicHttpResponse(response.status());
         response.headers().forEach(httpResponse::setHeader);
-        boolean closeConnection = closeAfterRequests || !discardBody(request);
+        boolean closeConnection = closeAfterRequests || !discardBody(request, response);
         if (closeConnection) {
             httpResponse.setHeader("Connection", "close");
         }
@@ -251,9 +264,15 @@
      *
      * @return whether the body was read to its end, so that the connection can be reused
      */
-    private boolean discardBody(ClassicHttpRequest request) throws IOException {
+    private boolean discardBody(ClassicHttpRequest request, ApiResponse response)
+            throws IOException {
         HttpEntity entity = request.getEntity();
-        if (entity == null || discardAll(entity.getContent())) {
+        if (entity == null) {
+            return true;
+        }
+        // A body that arrived too slowly would delay its refusal by the same time again.
+        boolean isSlow = response.status() == BODY_TIMEOUT_STATUS;
+        if (!isSlow && discardAll(entity.getContent())) {
             return true;
         }
         // If an entity is set, the server reads the rest of it before it closes the connection.
@@ -274,9 +293,13 @@
                 count = content.read(buffer);
             }
             return count < 0;
-        } catch (MessageLimitException e) {
-            // The request has run; its response is sent, and the connection is closed.
-            LOG.debug("SAP1209", "The rest of a request exceeds a limit", "cause", e);
+        } catch (MessageLimitException | SocketTimeoutException e) {
+            // The response is sent, and the connection is closed.
+            LOG.debug(
+                    "SAP1209",
+                    "The rest of a request exceeds a limit or did not arrive",
+                    "cause",
+                    e);
             return false;
         }
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
@@ -311,4 +311,28 @@
             assertThat(reader.readLine()).startsWith("HTTP/1.1 100");
         }
     }
+
+    /**
+     * Guards against a body that stops arriving and is reported as an unexpected failure, or whose
+     * refusal is held back while the rest of it is awaited.
+     */
+    @Test
+    void bodyThatStopsArrivingIsRefusedAsNotExecuted() throws Exception {
+        String address = server.frontend.address();
+        int colon = address.lastIndexOf(':');
+        try (Socket socket =
+                new Socket("127.0.0.1", Integer.parseInt(address.substring(colon + 1)))) {
+            // The body has 15 s; with as much for its rest, the response would come after 30 s.
+            socket.setSoTimeout(25_000);
+            String request =
+                    "POST /v1/services/ledger/orders HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                            + HttpTestServer.ACME_KEY
+                            + "\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\na";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            String response =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(response).startsWith("HTTP/1.1 408").contains("\"ran\":\"no\"");
+        }
+        assertThat(server.orders).isEmpty();
+    }
 }
