Unread responses: no healthy connection is closed at the start of a write

Cause: unreadMs read the start of the write before the flag that one is in progress. If a write began in between, the start of an earlier write was used, and a connection that had been idle for more than the limit was closed as unread.

Change: the flag is read first.

Tests: TrackedSocketTests and RelayListenerTests pass; no test triggers the race itself.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/TrackedSocket.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/TrackedSocket.java
@@ -43,8 +43,12 @@
      * is not ended while it is read, but one that is read byte by byte is.
      */
     public long unreadMs() {
+        if (!writeInProgress) {
+            return 0;
+        }
+        // Read after the flag; before it, this could be the time of an earlier write.
         long sinceNanos = unreadSinceNanos;
-        return writeInProgress ? Math.max(0, (System.nanoTime() - sinceNanos) / NANOS_PER_MS) : 0;
+        return Math.max(0, (System.nanoTime() - sinceNanos) / NANOS_PER_MS);
     }
 
     /**
