HTTP interface: a connection that fails while it is set up is closed

Cause: an exception of the constructor of HttpConnection, for instance of an option of a socket that was already reset, left the socket open.

Change: the socket is closed, as in RelayListener.

Tests: AdmissionHttpTests 16 of 16 pass; no test triggers the failure.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/HttpFrontend.java
@@ -191,21 +191,22 @@
 
     private void serve(TrackedSocket socket) throws IOException {
         HttpConnection[] connectionRef = new HttpConnection[1];
-        HttpConnection connection =
-                new HttpConnection(
-                        service,
-                        config,
-                        socket,
-                        memory,
-                        clock,
-                        memoryRefusals::increment,
-                        () -> connections.remove(connectionRef[0]));
-        connectionRef[0] = connection;
-        connections.add(connection);
         try {
-            connectionThreads.execute(connection);
-        } catch (RuntimeException | Error e) {
-            connections.remove(connection);
+            connectionRef[0] =
+                    new HttpConnection(
+                            service,
+                            config,
+                            socket,
+                            memory,
+                            clock,
+                            memoryRefusals::increment,
+                            () -> connections.remove(connectionRef[0]));
+            connections.add(connectionRef[0]);
+            connectionThreads.execute(connectionRef[0]);
+        } catch (IOException | RuntimeException | Error e) {
+            if (connectionRef[0] != null) {
+                connections.remove(connectionRef[0]);
+            }
             socket.close();
             throw e;
         }
