Rollouts: requests for an unreachable new version use the old one

Cause: a request placed at the new version was tried only there. When all of its endpoints had just ended, it was refused with 503 until their announcements expired, although the old endpoints were idle; in the last stage that was every request.

Change: while all endpoints of the new version are suspect at this instance, its share goes to the old one, if that has endpoints.

Tests: RolloutTrafficTests 19 of 19; the three new cases failed before with 503.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -36,7 +36,11 @@
             UpstreamPool pool,
             StartupWaiter startupWaiter,
             Executor copyOrders) {
-        RolloutTraffic rollouts = new RolloutTraffic(context.rollouts(), context.clock());
+        RolloutTraffic rollouts =
+                new RolloutTraffic(
+                        context.rollouts(),
+                        context.clock(),
+                        endpoint -> context.health().isSuspect(endpoint.id()));
         RelayCandidates candidates =
                 new RelayCandidates(context, signalFilter(context).and(rollouts));
         PlainRequestAdmission admission = new PlainRequestAdmission(context, candidates);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RolloutTraffic.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RolloutTraffic.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Divides the requests of a service between its versions while one is rolled out, and counts the
@@ -28,12 +29,22 @@
 
     private final LocalRollouts rollouts;
     private final MillisClock clock;
+    private final Predicate<EndpointState> isSuspect;
 
     /** Requests that the new version refused or failed; their next ones use the old one. */
     private final Set<HttpServerExchange> failedAtNewVersion =
             Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
 
-    RolloutTraffic(LocalRollouts rollouts, MillisClock clock) {
+    /**
+     * Creates the filter.
+     *
+     * @param rollouts rollouts that this instance knows
+     * @param clock monotonic clock
+     * @param isSuspect whether an endpoint could not be reached lately; while all endpoints of the
+     *     new version are suspect, the old one serves their share
+     */
+    RolloutTraffic(LocalRollouts rollouts, MillisClock clock, Predicate<EndpointState> isSuspect) {
+        this.isSuspect = Objects.requireNonNull(isSuspect, "isSuspect");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.rollouts = Objects.requireNonNull(rollouts, "rollouts");
     }
@@ -46,7 +57,15 @@
         }
         double share =
                 failedAtNewVersion.contains(request.exchange()) ? 0 : rollouts.share(rollout.get());
-        return VersionChoice.choose(rollout.get(), endpoints, share, fractionOf(request));
+        double fraction = fractionOf(request);
+        List<EndpointState> chosen =
+                VersionChoice.choose(rollout.get(), endpoints, share, fraction);
+        if (share == 0 || !chosen.stream().allMatch(isSuspect)) {
+            return chosen;
+        }
+        // Endpoints that have ended are known until their announcements expire.
+        List<EndpointState> old = VersionChoice.choose(rollout.get(), endpoints, 0, fraction);
+        return old.isEmpty() ? chosen : old;
     }
 
     /**
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RolloutTrafficTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RolloutTrafficTests.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against requests to a version that must not get them, or that gets more than its share.
@@ -114,4 +115,18 @@
             assertThat(old.received()).hasSize(1);
         }
     }
+
+    /** Guards against requests that are refused because the only new endpoint has just ended. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/read/", "/order/", "/stream/"})
+    void requestUsesTheOldVersionIfTheNewOneIsUnreachable(String path) throws Exception {
+        try (ScriptedEndpoint old = endpoint("v1");
+                ScriptedEndpoint ended = endpoint("v2");
+                RelayTestBed testBed = new RelayTestBed(old, ended).withTrafficPlan()) {
+            testBed.setRollout(rollout(RolloutState.IN_PROGRESS, 1));
+            ended.close();
+            assertThat(testBed.call("POST", path, "x")).startsWith("HTTP/1.1 200");
+            assertThat(old.received()).hasSize(1);
+        }
+    }
 }
