Count requests that were sent before a common crash as one episode

Cause: a popular request that was sent to two endpoints which crashed together was quarantined (502) if the second send was in the millisecond in which the first crash was observed, because CrashAnalysis.isNewEpisode compared with >=.

Change: the comparison is strict and allows for that error of 1 ms. Retries report a send time that is 3 ms later than the actual one (RequestQuarantine.reportedSentAtMs), so a retry in the millisecond of the crash that it follows still counts as a later episode.

Tests: RequestQuarantineTests failed in both new cases before the change. Now core.quarantine, RequestCrashMonitorTests, CrashProberTests, Crashing*, EndpointObservationDisseminationTests, DefaultRead/OrderServiceTests: green. Full verify: not run.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/CrashAnalysis.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/CrashAnalysis.java
@@ -30,6 +30,13 @@
      */
     static final long EPISODE_MS = 300;
 
+    /**
+     * Largest error of the order of two times of one instance, in milliseconds. A send time is
+     * converted from the monotonic to the wall clock, and both count whole milliseconds that begin
+     * at different moments.
+     */
+    static final long MAX_TIME_ERROR_MS = 1;
+
     private CrashAnalysis() {}
 
     /**
@@ -95,14 +102,17 @@
     }
 
     /**
-     * Returns whether a crash does not belong to an earlier episode.
+     * Returns whether a crash does not belong to an earlier episode. A request that was sent within
+     * the error of the times is taken as sent before the crash; the times of retries are reported
+     * with a margin above it.
      *
      * @param episodeAtMs time of the first crash of the episode, in milliseconds
      * @param sentAtMs time at which the request was sent to the process that crashed
      * @param observedAtMs time of its crash
      */
     static boolean isNewEpisode(long episodeAtMs, long sentAtMs, long observedAtMs) {
-        return sentAtMs >= episodeAtMs || observedAtMs > episodeAtMs + EPISODE_MS;
+        return sentAtMs > episodeAtMs + MAX_TIME_ERROR_MS
+                || observedAtMs > episodeAtMs + EPISODE_MS;
     }
 
     private static Culprit culpritOf(List<CrashReport> explained) {
--- a/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/PromptQuarantine.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/PromptQuarantine.java
@@ -50,7 +50,8 @@
      * @param service name of its service
      * @param prompt parts of the prompt
      * @param request fingerprint of the request
-     * @param waitedMs time since the request was sent, in milliseconds
+     * @param waitedMs time since the {@linkplain RequestQuarantine#reportedSentAtMs reported} send
+     *     time, in milliseconds; negative if a retry fails at once
      */
     public void recordCrash(
             EndpointId endpoint,
--- a/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/RequestQuarantine.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/quarantine/RequestQuarantine.java
@@ -20,6 +20,13 @@
  */
 public final class RequestQuarantine {
 
+    /**
+     * Time by which the reported send time of a retry is moved to later than the actual one, in
+     * milliseconds. A retry may be sent within the millisecond of the crash that it follows; with
+     * this margin it counts as later whatever the error of the two times.
+     */
+    static final long RETRY_MARGIN_MS = 2 * CrashAnalysis.MAX_TIME_ERROR_MS + 1;
+
     /** Number of crashes from which a request is refused. */
     static final int MIN_CRASHES = 2;
 
@@ -56,13 +63,27 @@
         this.instanceSeed = instanceSeed;
     }
 
+    /**
+     * Returns the send time of an attempt that is reported if its endpoint crashes. That of a retry
+     * is {@value #RETRY_MARGIN_MS} ms later than the actual one, so that it is later than the crash
+     * that the retry follows also if both are in the same millisecond.
+     *
+     * @param sentAtMs time at which the attempt was sent, in milliseconds of any clock
+     * @param isRetry whether an earlier attempt of the same request was sent and failed
+     * @return time to report, in milliseconds of the same clock
+     */
+    public static long reportedSentAtMs(long sentAtMs, boolean isRetry) {
+        return isRetry ? sentAtMs + RETRY_MARGIN_MS : sentAtMs;
+    }
+
     /**
      * Records that an endpoint crashed while it ran a request.
      *
      * @param endpoint identifier of the endpoint
      * @param epochMs start time of its process, in milliseconds
      * @param request fingerprint of the request
-     * @param waitedMs time since the request was sent, in milliseconds
+     * @param waitedMs time since the {@linkplain #reportedSentAtMs reported} send time, in
+     *     milliseconds; negative if a retry fails at once
      */
     public void recordCrash(
             EndpointId endpoint, long epochMs, RequestFingerprint request, long waitedMs) {
--- a/sapphire-core/src/test/java/io/sapphirestack/core/quarantine/PromptQuarantineTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/quarantine/PromptQuarantineTests.java
@@ -17,6 +17,9 @@
     private static final String SERVICE = "scribe";
     private static final long PREFILL_MS = 1_500;
 
+    /** Short enough that the crashes of a request and its retries are within one episode. */
+    private static final long RETRY_RUN_MS = 50;
+
     private long nowMs = 1_000_000_000;
     private int crashCount;
     private int requestCount;
@@ -51,6 +54,13 @@
         crash(ids);
     }
 
+    /** Sends a retry in the millisecond of the previous crash; it crashes its engine as well. */
+    private void retryCrashes(String endpoint, String... ids) {
+        long reportedSentAtMs = RequestQuarantine.reportedSentAtMs(nowMs, true);
+        nowMs += RETRY_RUN_MS;
+        crashAfter(nowMs - reportedSentAtMs, endpoint, ids);
+    }
+
     private boolean isQuarantined(String... ids) {
         return quarantine.remainingMs(SERVICE, prompt(ids), newRequest()).isPresent();
     }
@@ -141,10 +151,8 @@
     @Test
     void promptThatIsSentAgainAndCrashesTheNextEngineAtOnceIsQuarantined() {
         crashAt("e1", "deadly");
-        nowMs += 50;
-        crashAfter(50, "e2", "deadly");
-        nowMs += 50;
-        crashAfter(50, "e3", "deadly");
+        retryCrashes("e2", "deadly");
+        retryCrashes("e3", "deadly");
         assertThat(isQuarantined("deadly")).isTrue();
     }
 
--- a/sapphire-core/src/test/java/io/sapphirestack/core/quarantine/RequestQuarantineTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/quarantine/RequestQuarantineTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against requests that crash one endpoint after the other, and against a quarantine of
@@ -102,6 +103,36 @@
         assertThat(isRefused(REQUEST)).isFalse();
     }
 
+    /**
+     * Guards against two requests that were sent before a common crash and count as two crashes
+     * because the second was sent within its millisecond. The conversion to the wall clock can make
+     * the second one millisecond later.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, CrashAnalysis.MAX_TIME_ERROR_MS})
+    void popularRequestIsServedIfItWasSentInTheMillisecondOfACommonCrash(long errorMs) {
+        quarantine.recordAnswer(REQUEST);
+        nowMs += 500;
+        quarantine.recordCrash(EndpointId.of("e1"), 1, REQUEST, RUN_MS);
+        nowMs += errorMs;
+        quarantine.recordCrash(EndpointId.of("e2"), 1, REQUEST, 0);
+        assertThat(isRefused(REQUEST)).isFalse();
+    }
+
+    /** Guards against a request that reaches one endpoint more if its retry fails at once. */
+    @Test
+    void retryInTheMillisecondOfTheCrashThatItFollowsCountsAsALaterCrash() {
+        quarantine.recordAnswer(REQUEST);
+        nowMs += 500;
+        quarantine.recordCrash(EndpointId.of("e1"), 1, REQUEST, RUN_MS);
+        quarantine.recordCrash(
+                EndpointId.of("e2"),
+                1,
+                REQUEST,
+                nowMs - RequestQuarantine.reportedSentAtMs(nowMs, true));
+        assertThat(isRefused(REQUEST)).isTrue();
+    }
+
     @Test
     void requestThatWasAnsweredBeforeIsRefusedAfterCrashesOneAfterTheOther() {
         quarantine.recordAnswer(REQUEST);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/RequestCrashMonitor.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/RequestCrashMonitor.java
@@ -94,7 +94,8 @@
      * @param request fingerprint of the request that was sent
      * @param promptParts shared parts of its prompt
      * @param endpoint endpoint of the attempt
-     * @param sentAtMs time at which the request was sent, on the monotonic clock, in milliseconds
+     * @param sentAtMs reported send time, see {@link RequestQuarantine#reportedSentAtMs}, on the
+     *     monotonic clock, in milliseconds
      * @return whether the endpoint accepted a connection
      */
     public boolean recordFailure(
@@ -119,7 +120,8 @@
      * @param request fingerprint of the request that was sent
      * @param promptParts shared parts of its prompt
      * @param endpoint endpoint of the attempt
-     * @param sentAtMs time at which the request was sent, on the monotonic clock, in milliseconds
+     * @param sentAtMs reported send time, see {@link RequestQuarantine#reportedSentAtMs}, on the
+     *     monotonic clock, in milliseconds
      */
     public void recordTimeout(
             RequestFingerprint request,
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SuspectedCrash.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/SuspectedCrash.java
@@ -2,6 +2,7 @@
 
 import io.sapphirestack.core.quarantine.PromptParts;
 import io.sapphirestack.core.quarantine.RequestFingerprint;
+import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.routing.EndpointState;
 
 /**
@@ -10,7 +11,8 @@
  * @param request fingerprint of the request
  * @param promptParts shared parts of its prompt
  * @param endpoint endpoint of the attempt
- * @param sentAtMs time at which the request was sent, on the monotonic clock, in milliseconds
+ * @param sentAtMs reported send time, see {@link RequestQuarantine#reportedSentAtMs}, on the
+ *     monotonic clock, in milliseconds
  * @param failedAtMs time of the failure, on the monotonic clock, in milliseconds
  */
 public record SuspectedCrash(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/UnansweredAttempt.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/UnansweredAttempt.java
@@ -3,6 +3,7 @@
 import io.sapphirestack.core.generation.GenerationSpec;
 import io.sapphirestack.core.quarantine.PromptParts;
 import io.sapphirestack.core.quarantine.RequestFingerprint;
+import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.endpoint.EndpointException;
@@ -21,7 +22,8 @@
     private final RequestFingerprint fingerprint;
     private final MillisClock clock;
     private Optional<EndpointState> endpoint = Optional.empty();
-    private long startedAtMs;
+    private long reportedSentAtMs;
+    private boolean hasFailed;
 
     UnansweredAttempt(RequestCrashMonitor crashes, GenerationSpec spec, MillisClock clock) {
         this.crashes = crashes;
@@ -45,7 +47,7 @@
 
     void begin(EndpointState engine) {
         endpoint = Optional.of(engine);
-        startedAtMs = clock.nowMs();
+        reportedSentAtMs = RequestQuarantine.reportedSentAtMs(clock.nowMs(), hasFailed);
     }
 
     /** Records the first token of the attempt. */
@@ -72,10 +74,11 @@
     }
 
     private void recordFailure(EndpointState engine, boolean timedOut) {
+        hasFailed = true;
         if (!timedOut) {
-            crashes.recordFailure(fingerprint, PromptParts.NONE, engine, startedAtMs);
+            crashes.recordFailure(fingerprint, PromptParts.NONE, engine, reportedSentAtMs);
         } else {
-            crashes.recordTimeout(fingerprint, PromptParts.NONE, engine, startedAtMs);
+            crashes.recordTimeout(fingerprint, PromptParts.NONE, engine, reportedSentAtMs);
         }
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/DefaultReadService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/DefaultReadService.java
@@ -6,6 +6,7 @@
 import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.quarantine.PromptParts;
 import io.sapphirestack.core.quarantine.RequestFingerprint;
+import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.record.ServiceSpec;
 import io.sapphirestack.core.record.ServiceType;
 import io.sapphirestack.core.routing.DispatchGuard;
@@ -199,7 +200,9 @@
          */
         private Optional<ServiceResponse> attemptAt(EndpointState endpoint)
                 throws RefusedException {
-            long startedAtMs = clock.nowMs();
+            long reportedSentAtMs =
+                    RequestQuarantine.reportedSentAtMs(
+                            clock.nowMs(), executed != ExecutionState.NO);
             boolean maybeSent = false;
             Optional<PlainConnection> reused = idleConnections.take(endpoint.address());
             if (reused.isPresent()) {
@@ -212,7 +215,8 @@
                     // That the endpoint has closed an idle connection is normal and costs nothing.
                     // A timeout has cost time, so that a new connection counts as a retry.
                     if (e.timedOut() && !retryBudget.tryRetry(service)) {
-                        crashes.recordTimeout(fingerprint, PromptParts.NONE, endpoint, startedAtMs);
+                        crashes.recordTimeout(
+                                fingerprint, PromptParts.NONE, endpoint, reportedSentAtMs);
                         return Optional.empty();
                     }
                 }
@@ -234,7 +238,8 @@
                     connection.close();
                 }
                 if (maybeSent || e.maybeSent()) {
-                    crashes.recordFailure(fingerprint, PromptParts.NONE, endpoint, startedAtMs);
+                    crashes.recordFailure(
+                            fingerprint, PromptParts.NONE, endpoint, reportedSentAtMs);
                 }
                 return Optional.empty();
             }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CrashGuard.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CrashGuard.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.quarantine.PromptQuarantine;
+import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.endpoint.RequestCrashMonitor;
@@ -125,11 +126,16 @@
      * @param request request that was sent
      * @param endpoint endpoint of the attempt
      * @param sentAtMs time at which it was sent, in milliseconds
+     * @param isRetry whether an earlier attempt of the request was sent and failed
      * @return whether the endpoint accepted a connection after the failure
      */
-    boolean recordFailure(RelayedRequest request, EndpointState endpoint, long sentAtMs) {
+    boolean recordFailure(
+            RelayedRequest request, EndpointState endpoint, long sentAtMs, boolean isRetry) {
         return requests.recordFailure(
-                request.fingerprint(), request.promptParts(), endpoint, sentAtMs);
+                request.fingerprint(),
+                request.promptParts(),
+                endpoint,
+                RequestQuarantine.reportedSentAtMs(sentAtMs, isRetry));
     }
 
     /**
@@ -138,9 +144,15 @@
      * @param request request that was sent
      * @param endpoint endpoint of the attempt
      * @param sentAtMs time at which it was sent, in milliseconds
+     * @param isRetry whether an earlier attempt of the request was sent and failed
      */
-    void recordTimeout(RelayedRequest request, EndpointState endpoint, long sentAtMs) {
-        requests.recordTimeout(request.fingerprint(), request.promptParts(), endpoint, sentAtMs);
+    void recordTimeout(
+            RelayedRequest request, EndpointState endpoint, long sentAtMs, boolean isRetry) {
+        requests.recordTimeout(
+                request.fingerprint(),
+                request.promptParts(),
+                endpoint,
+                RequestQuarantine.reportedSentAtMs(sentAtMs, isRetry));
     }
 
     /** Logs when a quarantine began or ended since the last call. Called by one thread. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRelay.java
@@ -51,6 +51,7 @@
     private static final class AttemptHistory {
         private final List<EndpointState> triedEndpoints = new ArrayList<>();
         private int sentCount;
+        private boolean hasFailed;
         private int connectFailures;
         private Optional<RelayResponse> lastResponse = Optional.empty();
     }
@@ -117,7 +118,9 @@
                 observer.onFailure(request, endpoint, startedAtMs);
             }
             boolean reachable =
-                    e.mayHaveRun() && crashGuard.recordFailure(request, endpoint, startedAtMs);
+                    e.mayHaveRun()
+                            && crashGuard.recordFailure(
+                                    request, endpoint, startedAtMs, history.hasFailed);
             LOG.info(
                     "SAP1910",
                     "An attempt failed without a complete response",
@@ -142,7 +145,7 @@
         } catch (RelayFailedException e) {
             return Optional.of(e.response());
         } catch (RelayTimeoutException e) {
-            crashGuard.recordTimeout(request, endpoint, startedAtMs);
+            crashGuard.recordTimeout(request, endpoint, startedAtMs, history.hasFailed);
             return Optional.of(
                     history.sentCount == 0 && e.step().equals(STEP_CONNECT)
                             ? RelayResponse.notRun(
@@ -232,6 +235,7 @@
     private Optional<RelayResponse> handleAttemptFailure(
             RelayedRequest request, AttemptHistory history) {
         history.sentCount++;
+        history.hasFailed = true;
         history.lastResponse =
                 Optional.of(
                         history.lastResponse.orElseGet(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -390,7 +390,7 @@
         boolean reachable =
                 attempt.hasReceivedEvent()
                         || crashGuard.recordFailure(
-                                request, attempt.endpoint(), attemptStartedAtMs);
+                                request, attempt.endpoint(), attemptStartedAtMs, attemptCount > 1);
         markFailed(attempt.endpoint());
         observer.onFailure(request, attempt.endpoint(), attemptStartedAtMs);
         LOG.info(
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/CrashingRequestTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/CrashingRequestTests.java
@@ -32,8 +32,14 @@
     /** Crashes of endpoints that one request may cause before it is known. */
     private static final int MAX_CRASHES = 3;
 
+    /** A crash counts only if its request was sent in a later millisecond than the last answer. */
+    private static final long AFTER_ANSWER_MS = 10;
+
     private final AtomicInteger crashes = new AtomicInteger();
 
+    /** While true, each request crashes its endpoint. */
+    private volatile boolean allDeadly;
+
     /** While set, endpoints crash together as soon as two requests run. */
     private volatile Optional<CountDownLatch> rackCrash = Optional.empty();
 
@@ -60,7 +66,8 @@
 
     private void answerOrCrash(ScriptedEndpoint.Received request, Socket socket, OutputStream out)
             throws Exception {
-        boolean deadly = request.line().contains("deadly") || request.body().contains("deadly");
+        boolean deadly =
+                allDeadly || request.line().contains("deadly") || request.body().contains("deadly");
         Optional<CountDownLatch> together = rackCrash;
         if (together.isPresent()) {
             together.get().countDown();
@@ -130,6 +137,19 @@
         assertThat(popular()).startsWith("HTTP/1.1 200");
     }
 
+    /** Guards against a retry that counts as part of the crash that it follows. */
+    @ParameterizedTest
+    @CsvSource({"GET,/read/popular", "POST,/stream/popular"})
+    void requestThatWasAnsweredBeforeIsRefusedAfterItsRetryCrashedAsWell(String method, String path)
+            throws Exception {
+        assertThat(send(method, path, "")).startsWith("HTTP/1.1 200");
+        Thread.sleep(AFTER_ANSWER_MS);
+        allDeadly = true;
+        assertThat(send(method, path, "")).startsWith("HTTP/1.1 502");
+        assertThat(crashes.get()).isEqualTo(2);
+        assertThat(send(method, path, "")).startsWith("HTTP/1.1 503");
+    }
+
     private String popular() {
         try {
             return send("GET", "/read/popular", "");
