Streams whose send broke off are no longer refused as not run

Cause: a failed send left no response in RelayedStream, so the caller got 503 although bytes of the request had reached an endpoint. Change: the outcome counts as unknown (502) from then on. Tests: MisbehavingEndpointTests, 44 passed; the new test fails without the change (503).

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedStream.java
@@ -328,6 +328,7 @@
         } catch (UpstreamException e) {
             standby.end(false);
             markFailed(endpoint);
+            lastResponse = Optional.of(RelayResponse.outcomeUnknown("the request was partly sent"));
             throw e;
         }
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MisbehavingEndpointTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MisbehavingEndpointTests.java
@@ -183,6 +183,22 @@
         }
     }
 
+    /** Guards against a refusal as not run after a part of the request was sent. */
+    @Test
+    void streamWhoseSendBreaksOffIsNotReportedAsNotRun() throws Exception {
+        try (ScriptedEndpoint stuck = ScriptedEndpoint.notReading("e1");
+                RelayTestBed testBed = new RelayTestBed(stuck).withTrafficPlan()) {
+            testBed.schedule(
+                    1_500,
+                    () -> {
+                        stuck.close();
+                        return null;
+                    });
+            String response = testBed.call("POST", "/stream/1", "x".repeat(4_000_000));
+            assertThat(status(response)).isEqualTo(502);
+        }
+    }
+
     @Test
     void responseBehindInterimHeadsIsDelivered() throws Exception {
         try (ScriptedEndpoint endpoint =
