Orders for copies end in time and accept only plain handles

Cause: the read timeout counts from byte to byte, so an engine that sends a response slowly held one of the 8 threads for orders; a handle went unchecked into a header field and a path.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
@@ -117,9 +117,21 @@
         }
     }
 
+    /**
+     * Ends all further reads of the current response after a time, also if single bytes keep
+     * arriving.
+     *
+     * @param timeoutMs time from now, in milliseconds, positive
+     * @throws IOException if the connection is closed
+     */
+    public void limitBodyTime(long timeoutMs) throws IOException {
+        long deadlineMs = clock.nowMs() + timeoutMs;
+        socket.guardedInput().guardBody(() -> requireBefore(deadlineMs));
+    }
+
     private void requireBefore(long deadlineMs) throws SocketTimeoutException {
         if (clock.nowMs() >= deadlineMs) {
-            throw new SocketTimeoutException("the head of the response did not arrive in time");
+            throw new SocketTimeoutException("the response did not arrive in time");
         }
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CopyOrderClient.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/CopyOrderClient.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
@@ -32,6 +33,10 @@
 
     private static final int MAX_RESPONSE_BYTES = 4_096;
     private static final int COPIED = 200;
+
+    /** A handle becomes part of a header field and of a path, so it has no spaces or controls. */
+    private static final Pattern HANDLE = Pattern.compile("[!-~]{1,256}");
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final CopyOrderNames names;
@@ -89,6 +94,8 @@
                         EndpointConnection.open(
                                 source.address(), CONNECT_TIMEOUT_MS, ORDER_TIMEOUT_MS);
                 ClassicHttpResponse response = connection.exchange(request)) {
+            // Also bounds the close of the response, which reads what is left of the body.
+            connection.limitBodyTime(ORDER_TIMEOUT_MS);
             return new CopyOrderResponse(response.getCode(), handleOf(response));
         } catch (IOException | HttpException e) {
             throw new EndpointException(
@@ -108,9 +115,10 @@
     private Optional<String> parseHandle(String text) {
         try {
             JsonNode handle = MAPPER.readTree(text).path(names.handle());
-            return handle.isValueNode() && !handle.isNull()
-                    ? Optional.of(handle.asText())
-                    : Optional.empty();
+            return Optional.of(handle)
+                    .filter(node -> node.isValueNode() && !node.isNull())
+                    .map(JsonNode::asText)
+                    .filter(value -> HANDLE.matcher(value).matches());
         } catch (JsonProcessingException e) {
             return Optional.empty();
         }
