Routes without a target latency are not refused as late

Cause: a plan that names no target gives 0, so every request that found no free slot counted as late. Change: the deadline is the target of such a route. Tests: PlainRequestAdmissionTests, 4 passed; the new test was not run alone on the unchanged code.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficRoute.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficRoute.java
@@ -11,7 +11,7 @@
  * @param kind whether requests may run more than once and whether responses are streams
  * @param timeoutMs maximum time that a request waits for its response, in milliseconds
  * @param targetLatencyMs target latency of a response or of the first event of a stream, in
- *     milliseconds
+ *     milliseconds; 0 if the plan names none
  * @param gapTargetMs target gap between two events of a stream, in milliseconds; 0 if the response
  *     is not a stream
  * @param priority priority, 0 is the highest
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRequestAdmission.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRequestAdmission.java
@@ -12,8 +12,8 @@
 
 /**
  * Admits or refuses plain requests by {@link PlainAdmission}, with service times that this instance
- * observes. Streams, and requests of a service with an endpoint whose load is not known, are
- * admitted at once. Thread-safe.
+ * observes. Streams, and requests of a service with an endpoint whose load or pace is not known,
+ * are admitted at once. Thread-safe.
  */
 final class PlainRequestAdmission implements RequestAdmission, AttemptObserver {
 
@@ -44,7 +44,10 @@
         this.callerTimeouts = new ServiceTimes(context.clock());
     }
 
-    /** Times of a request that a decision depends on, in milliseconds. */
+    /**
+     * Times of a request that a decision depends on, in milliseconds. If the route has no target
+     * latency, the deadline is the target.
+     */
     private record Times(long targetInMs, long deadlineInMs, double workMs) {}
 
     @Override
@@ -64,9 +67,11 @@
     private Times times(RelayedRequest request) {
         long nowMs = context.clock().nowMs();
         long ageMs = nowMs - request.exchange().receivedAtMs() + earlierAgeMs(request);
+        long deadlineInMs = request.deadlineAtMs() - nowMs;
+        long targetMs = request.route().targetLatencyMs();
         return new Times(
-                request.route().targetLatencyMs() - ageMs,
-                request.deadlineAtMs() - nowMs,
+                targetMs > 0 ? targetMs - ageMs : deadlineInMs,
+                deadlineInMs,
                 workTimes.meanMs(request.route().name()).orElse(0));
     }
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/PlainRequestAdmissionTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/PlainRequestAdmissionTests.java
@@ -4,6 +4,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sapphirestack.core.relay.ObservedLoad;
+import io.sapphirestack.core.relay.RequestKind;
+import io.sapphirestack.core.relay.TrafficRoute;
 import java.io.IOException;
 import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
@@ -18,6 +20,8 @@
     private static final ObservedLoad IDLE = new ObservedLoad(0, 0, 1, OptionalInt.of(100), 0);
     private static final ObservedLoad FULL =
             new ObservedLoad(1, 100_000, 1, OptionalInt.of(100), 0);
+    private static final ObservedLoad SHORT_QUEUE =
+            new ObservedLoad(1, 2, 1, OptionalInt.of(100), 0);
     private static final ObservedLoad STALE =
             new ObservedLoad(1, 100_000, 1, OptionalInt.of(100), 1_001);
     private static final int REQUESTS = 40;
@@ -75,4 +79,29 @@
             assertThat(served(testBed.withLoad(endpoint, FULL))).isEqualTo(REQUESTS);
         }
     }
+
+    /** Without a target, no request is late before its deadline. */
+    @Test
+    void routeWithoutTargetLatencyIsNotRefusedAsLate() throws Exception {
+        TrafficRoute timed = RelayTestBed.route("/order/", RequestKind.NON_IDEMPOTENT, 1, 2);
+        TrafficRoute untimed =
+                new TrafficRoute(
+                        timed.name(),
+                        timed.host(),
+                        timed.pathPrefix(),
+                        timed.kind(),
+                        timed.timeoutMs(),
+                        0,
+                        timed.gapTargetMs(),
+                        timed.priority(),
+                        timed.maxAttempts(),
+                        timed.isOpen(),
+                        timed.targets());
+        try (ScriptedEndpoint endpoint = endpoint();
+                RelayTestBed testBed = new RelayTestBed(endpoint).withRoutes(untimed)) {
+            assertThat(served(testBed.withLoad(endpoint, IDLE))).isEqualTo(REQUESTS);
+            assertThat(served(testBed.withLoad(endpoint, SHORT_QUEUE))).isEqualTo(REQUESTS);
+            assertThat(served(testBed.withLoad(endpoint, FULL))).isLessThan(REQUESTS / 2);
+        }
+    }
 }
