Standby copies: choice of a holder is limited in rate, late copies are released

Cause: without an eligible holder, the choice was repeated at every check of a stream; a copy that was complete only after the end of its stream was kept until it expired. Change: a choice without result counts as an order; the thread of the order releases a late copy. The comment on the window of ServiceTimes names the longest time, which it holds. Tests: StandbyCopyTests, 1 passed, which covers neither case; ArchitectureTests of the runtime pass.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/admission/ServiceTimes.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/admission/ServiceTimes.java
@@ -14,7 +14,7 @@
  */
 public final class ServiceTimes {
 
-    /** Length of the window of the shortest time, in milliseconds. */
+    /** Length of the window of the longest time, in milliseconds. */
     static final long WINDOW_MS = 10_000;
 
     /** Weight of a new observation in the mean. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamStandby.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamStandby.java
@@ -32,6 +32,7 @@
     private Optional<String> handle = Optional.empty();
     private boolean busy;
     private boolean closed;
+    private boolean isReleaseDue;
 
     /**
      * Copy from which a stream can continue.
@@ -145,7 +146,11 @@
                 submit(() -> probe(checked));
             }
             case RENEW -> startOrder(holder.orElseThrow());
-            case REPLACE -> chooseHolder().ifPresent(this::startOrder);
+            case REPLACE -> {
+                // Also without a holder, so that the choice is not repeated at every check.
+                state.recordOrder(context.clock().nowMs());
+                chooseHolder().ifPresent(this::startOrder);
+            }
             default -> {
                 // Nothing is due.
             }
@@ -205,17 +210,24 @@
             recordFailedOrder(target, e.getMessage());
             return;
         }
-        synchronized (this) {
-            if (closed) {
-                return;
-            }
-            if (response.handle().isEmpty()) {
-                refusedHolders.add(target);
-                recordFailedOrder(target, "status " + response.status());
-                return;
-            }
+        if (recordResponse(target, response, orderedAtMs)) {
+            response.handle().ifPresent(this::release);
+        }
+    }
+
+    /** Records the response to an order; returns whether its copy has to be released. */
+    private synchronized boolean recordResponse(
+            EndpointState target, CopyOrderClient.CopyOrderResponse response, long orderedAtMs) {
+        if (closed) {
+            return isReleaseDue;
+        }
+        if (response.handle().isEmpty()) {
+            refusedHolders.add(target);
+            recordFailedOrder(target, "status " + response.status());
+        } else {
             recordCopy(target, response.handle().get(), orderedAtMs);
         }
+        return false;
     }
 
     private void recordCopy(EndpointState target, String copyHandle, long orderedAtMs) {
@@ -266,6 +278,7 @@
             return;
         }
         closed = true;
+        isReleaseDue = streamEnded;
         permit.ifPresent(DispatchPermit::close);
         permit = Optional.empty();
         if (streamEnded && handle.isPresent()) {
