Orders for copies: only a holder that refused is left out; unused defaults removed

A response of 404 or 409 says nothing about the holder. ObservedLoad.slowdown is renamed to paceFactor, because the glossary uses slowdown for the learned factor. Tests: StandbyCopyTests, CopyOrderClientTests, admission and estimator tests pass.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/admission/ServiceCapacity.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/admission/ServiceCapacity.java
@@ -70,7 +70,7 @@
             double waitMs = waitMs(load, occupied, workMs);
             freeSlots += Math.max(0, load.slots() - occupied);
             startInMs = Math.min(startInMs, waitMs);
-            endInMs = Math.min(endInMs, waitMs + workMs * load.slowdown());
+            endInMs = Math.min(endInMs, waitMs + workMs * load.paceFactor());
             oldestMs = Math.max(oldestMs, load.ageMs());
         }
         return endpoints.isEmpty()
@@ -85,7 +85,7 @@
     /** Returns the time until the requests that are ahead of one more have left a slot free. */
     private static double waitMs(ObservedLoad load, int occupied, double workMs) {
         int ahead = Math.max(0, occupied + 1 - load.slots());
-        return ahead * workMs * load.slowdown() / load.slots();
+        return ahead * workMs * load.paceFactor() / load.slots();
     }
 
     /** Adds own requests that the report does not contain and that have probably not ended. */
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/CompletionEstimator.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/CompletionEstimator.java
@@ -94,7 +94,6 @@
         double remaining = Math.exp(-load.ageMs() / PACE_LASTS_MS);
         double duringWork =
                 PACE_LASTS_MS / REQUEST_MS * (1 - Math.exp(-REQUEST_MS / PACE_LASTS_MS));
-        double reported = (double) load.pacePercent() / ObservedLoad.USUAL_PACE_PERCENT;
-        return 1 + (reported - 1) * remaining * duringWork;
+        return 1 + (load.paceFactor() - 1) * remaining * duringWork;
     }
 }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/ObservedLoad.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/ObservedLoad.java
@@ -23,7 +23,7 @@
     }
 
     /** Returns the service time relative to the usual one; 1 if the endpoint reports none. */
-    public double slowdown() {
+    public double paceFactor() {
         return (double) pacePercent() / USUAL_PACE_PERCENT;
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRequestAdmission.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRequestAdmission.java
@@ -151,7 +151,7 @@
         Optional<ObservedLoad> load = context.loads().of(endpoint);
         if (load.isPresent() && load.get().waiting() == 0) {
             long timeMs = context.clock().nowMs() - sentAtMs;
-            workTimes.record(request.route().name(), Math.round(timeMs / load.get().slowdown()));
+            workTimes.record(request.route().name(), Math.round(timeMs / load.get().paceFactor()));
         }
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestAdmission.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestAdmission.java
@@ -4,9 +4,6 @@
 @FunctionalInterface
 interface RequestAdmission {
 
-    /** Admits every request at once. */
-    RequestAdmission IMMEDIATE = request -> () -> {};
-
     /**
      * Waits until a request may be placed.
      *
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamStandby.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamStandby.java
@@ -19,6 +19,9 @@
 
     private static final EventLog LOG = EventLog.of(StreamStandby.class);
 
+    /** Status of an order whose holder has no room or cannot be reached. */
+    private static final int HOLDER_UNAVAILABLE = 503;
+
     private final RelayContext context;
     private final StandbyServices services;
     private final RelayedRequest request;
@@ -222,7 +225,9 @@
             return isReleaseDue;
         }
         if (response.handle().isEmpty()) {
-            refusedHolders.add(target);
+            if (response.status() == HOLDER_UNAVAILABLE) {
+                refusedHolders.add(target);
+            }
             recordFailedOrder(target, "status " + response.status());
         } else {
             recordCopy(target, response.handle().get(), orderedAtMs);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UrgencyPolicy.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UrgencyPolicy.java
@@ -6,9 +6,6 @@
 @FunctionalInterface
 interface UrgencyPolicy {
 
-    /** Leaves the urgency to the default of the engine. */
-    UrgencyPolicy DEFAULT = request -> OptionalInt.empty();
-
     /**
      * Returns the urgency of the attempts of a stream.
      *
