The priority of a client account takes precedence over that of its route

Cause: the urgency of streams used the priority of the route, also for accounts that have one. Change: RelayedAccount has a priority; TrafficPlan.streamPriorities lists those that streams of a service may have; RelayedRequest carries the one in force.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/admission/StreamUrgency.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/admission/StreamUrgency.java
@@ -1,7 +1,6 @@
 package io.sapphirestack.core.admission;
 
 import io.sapphirestack.core.relay.TrafficPlan;
-import io.sapphirestack.core.relay.TrafficRoute;
 import java.util.List;
 import java.util.OptionalInt;
 
@@ -11,9 +10,10 @@
  * several routes compete.
  *
  * <p>An engine preempts less urgent running streams when its memory runs out, and prefills their
- * prompts again. The urgency therefore depends on the priority of the route only. Where streams
- * that had started or were late had levels of their own, they preempted or were preempted by
- * streams of the same priority, and engines prefilled nearly twice as much for nothing. Stateless.
+ * prompts again. The urgency therefore depends on the priority only: that of the client account,
+ * otherwise that of the route. Where streams that had started or were late had levels of their own,
+ * they preempted or were preempted by streams of the same priority, and engines prefilled nearly
+ * twice as much for nothing. Stateless.
  */
 public final class StreamUrgency {
 
@@ -33,22 +33,16 @@
      *
      * @param plan traffic plan in force
      * @param service name of the service that the attempt is sent to
-     * @param route route of the stream
-     * @return urgency from 1, the most urgent, to 5; empty if the stream routes of the service do
-     *     not differ in priority
+     * @param priority priority of the stream, 0 is the highest
+     * @return urgency from 1, the most urgent, to 5; empty if the streams of the service do not
+     *     differ in priority
      */
-    public static OptionalInt of(TrafficPlan plan, String service, TrafficRoute route) {
-        List<Integer> priorities =
-                plan.routesTo(service).stream()
-                        .filter(r -> r.kind().isStream())
-                        .map(TrafficRoute::priority)
-                        .distinct()
-                        .sorted()
-                        .toList();
+    public static OptionalInt of(TrafficPlan plan, String service, int priority) {
+        List<Integer> priorities = plan.streamPriorities(service);
         if (priorities.size() < 2) {
             return OptionalInt.empty();
         }
-        int lower = (int) priorities.stream().filter(p -> p > route.priority()).count();
+        int lower = (int) priorities.stream().filter(p -> p > priority).count();
         int group = Math.min(lower * GROUPS / Math.max(GROUPS, priorities.size()), GROUPS - 1);
         return OptionalInt.of(LEAST - STEP * group);
     }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 /** Validated set of all routes, services, accounts and limits of one plan version. Immutable. */
@@ -21,6 +22,7 @@
     private final Map<String, List<TrafficRoute>> routesByService;
     private final Map<String, RelayedAccount> accountsByKey;
     private final boolean hasAccounts;
+    private final Map<String, List<Integer>> streamPriorities;
 
     /**
      * Creates a plan.
@@ -47,6 +49,11 @@
         this.routesByService = indexByService(routes);
         this.accountsByKey = indexAccounts(accounts);
         this.hasAccounts = !accounts.isEmpty();
+        this.streamPriorities =
+                routesByService.keySet().stream()
+                        .collect(
+                                Collectors.toUnmodifiableMap(
+                                        service -> service, this::findStreamPriorities));
     }
 
     /** Returns the version number set by the operator. */
@@ -113,6 +120,35 @@
         return routesByService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns the priorities that streams to a service may have: those of the accounts, and those
+     * of the routes for requests of accounts without a priority.
+     *
+     * @param service name of the service
+     * @return distinct priorities, the highest first
+     */
+    public List<Integer> streamPriorities(String service) {
+        return streamPriorities.getOrDefault(service, List.of());
+    }
+
+    private List<Integer> findStreamPriorities(String service) {
+        List<TrafficRoute> streams =
+                routesTo(service).stream().filter(route -> route.kind().isStream()).toList();
+        if (streams.isEmpty()) {
+            return List.of();
+        }
+        Set<Integer> priorities = new TreeSet<>();
+        accountsByKey.values().forEach(account -> account.priority().ifPresent(priorities::add));
+        boolean usesRoutes =
+                !hasAccounts
+                        || streams.stream().anyMatch(TrafficRoute::isOpen)
+                        || accountsByKey.values().stream().anyMatch(a -> a.priority().isEmpty());
+        if (usesRoutes) {
+            streams.forEach(route -> priorities.add(route.priority()));
+        }
+        return List.copyOf(priorities);
+    }
+
     /** Returns whether requests need a key on routes that are not open. */
     public boolean needsKeys() {
         return hasAccounts;
--- a/sapphire-core/src/test/java/io/sapphirestack/core/admission/StreamUrgencyTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/admission/StreamUrgencyTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sapphirestack.core.relay.CallerLimits;
+import io.sapphirestack.core.relay.RelayedAccount;
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.RequestKind;
 import io.sapphirestack.core.relay.TrafficPlan;
@@ -53,7 +54,7 @@
 
     private static OptionalInt urgency(List<TrafficRoute> routes, int index)
             throws TrafficPlanException {
-        return StreamUrgency.of(plan(routes), SERVICE, routes.get(index));
+        return StreamUrgency.of(plan(routes), SERVICE, routes.get(index).priority());
     }
 
     @ParameterizedTest
@@ -72,6 +73,41 @@
         assertThat(urgency(routes, 1)).hasValue(5);
     }
 
+    /** Guards against a route's priority that overrides the one of the account. */
+    @Test
+    void prioritiesOfAccountsReplaceThoseOfTheRoutes() throws TrafficPlanException {
+        List<TrafficRoute> routes = List.of(stream(0, TARGET_MS), stream(9, TARGET_MS));
+        List<RelayedAccount> accounts =
+                List.of(
+                        new RelayedAccount("gold", List.of("k1"), OptionalInt.of(1)),
+                        new RelayedAccount("base", List.of("k2"), OptionalInt.of(3)));
+        TrafficPlan plan =
+                new TrafficPlan(
+                        1,
+                        routes.stream().map(StreamUrgencyTests::withKey).toList(),
+                        List.of(new RelayedService(SERVICE, true)),
+                        accounts,
+                        CallerLimits.DEFAULT);
+        assertThat(plan.streamPriorities(SERVICE)).containsExactly(1, 3);
+        assertThat(StreamUrgency.of(plan, SERVICE, 1)).hasValue(3);
+        assertThat(StreamUrgency.of(plan, SERVICE, 3)).hasValue(5);
+    }
+
+    private static TrafficRoute withKey(TrafficRoute r) {
+        return new TrafficRoute(
+                r.name(),
+                r.host(),
+                r.pathPrefix(),
+                r.kind(),
+                r.timeoutMs(),
+                r.targetLatencyMs(),
+                r.gapTargetMs(),
+                r.priority(),
+                r.maxAttempts(),
+                false,
+                r.targets());
+    }
+
     @Test
     void urgencyIsAbsentWhereStreamsOfTheServiceHaveOnePriority() throws TrafficPlanException {
         List<TrafficRoute> routes =
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
@@ -20,6 +20,7 @@
  * @param service service that the request is sent to
  * @param promptParts shared parts of its prompt
  * @param fingerprint identifies requests of the same content
+ * @param priority priority of the client account, otherwise that of the route; 0 is the highest
  * @param account client account of the caller, empty if no key is required and the caller sent none
  *     or an unknown one
  * @param deadline returns the deadline on the monotonic clock, in milliseconds: the earliest of
@@ -33,6 +34,7 @@
         RelayedService service,
         PromptParts promptParts,
         RequestFingerprint fingerprint,
+        int priority,
         Optional<String> account,
         LongSupplier deadline,
         RelayHeaders headers) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamUrgencyPolicy.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamUrgencyPolicy.java
@@ -21,7 +21,7 @@
                         .map(
                                 plan ->
                                         StreamUrgency.of(
-                                                plan, request.service().name(), request.route()))
+                                                plan, request.service().name(), request.priority()))
                         .orElse(OptionalInt.empty());
         urgency.ifPresent(context.metrics()::recordUrgency);
         return urgency;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -237,6 +238,7 @@
                         exchange.method(),
                         exchange.target(),
                         exchange.body()),
+                priorityOf(account, route),
                 account.map(RelayedAccount::name),
                 route.kind().isStream()
                         ? () -> ownDeadlineAtMs
@@ -244,6 +246,13 @@
                 headers);
     }
 
+    private static int priorityOf(Optional<RelayedAccount> account, TrafficRoute route) {
+        return account.map(RelayedAccount::priority)
+                .filter(OptionalInt::isPresent)
+                .map(OptionalInt::getAsInt)
+                .orElse(route.priority());
+    }
+
     private void relay(RelayedRequest request) throws IOException {
         if (request.remainingMs(context.clock()) <= 0) {
             // The caller may have left and sent the request elsewhere.
