--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/AdmissionSettingsReader.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/AdmissionSettingsReader.java
@@ -13,16 +13,17 @@
     private static final String REFUSE_LATE = "refuse_late";
     private static final String AGE_FROM_DEADLINE = "age_from_deadline";
     private static final String MAX_REPORT_AGE_MS = "max_report_age_ms";
+    private static final String STREAM_URGENCY = "stream_urgency";
     private static final Set<String> KEYS =
-            Set.of(REFUSE_LATE, AGE_FROM_DEADLINE, MAX_REPORT_AGE_MS);
+            Set.of(REFUSE_LATE, AGE_FROM_DEADLINE, MAX_REPORT_AGE_MS, STREAM_URGENCY);
 
     private AdmissionSettingsReader() {}
 
     /**
      * Reads the settings; each one that is absent has its default.
      *
-     * @param node object with the keys {@code refuse_late}, {@code age_from_deadline} and {@code
-     *     max_report_age_ms}; may be missing
+     * @param node object with the keys {@code refuse_late}, {@code age_from_deadline}, {@code
+     *     max_report_age_ms} and {@code stream_urgency}; may be missing
      * @param source name of the settings for error messages
      * @return settings
      * @throws SettingsException if a key is unknown or a value is not valid
@@ -38,7 +39,8 @@
         return new AdmissionSettings(
                 flag(node, REFUSE_LATE, defaults.refuseLate(), source),
                 flag(node, AGE_FROM_DEADLINE, defaults.ageFromDeadline(), source),
-                reportAgeMs(node, defaults.maxReportAgeMs(), source));
+                reportAgeMs(node, defaults.maxReportAgeMs(), source),
+                flag(node, STREAM_URGENCY, defaults.streamUrgency(), source));
     }
 
     private static boolean flag(JsonNode node, String key, boolean defaultValue, String source)
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/AdmissionSettingsReaderTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/AdmissionSettingsReaderTests.java
@@ -24,8 +24,8 @@
         assertThat(
                         read(
                                 "{\"admission\":{\"refuse_late\":false,\"age_from_deadline\":false,"
-                                        + "\"max_report_age_ms\":300}}"))
-                .isEqualTo(new AdmissionSettings(false, false, 300));
+                                        + "\"max_report_age_ms\":300,\"stream_urgency\":true}}"))
+                .isEqualTo(new AdmissionSettings(false, false, 300, true));
     }
 
     @ParameterizedTest
@@ -37,6 +37,7 @@
                 "{\"age_from_deadline\":\"no\"} | age_from_deadline",
                 "{\"max_report_age_ms\":0} | max_report_age_ms",
                 "{\"max_report_age_ms\":1001} | max_report_age_ms",
+                "{\"stream_urgency\":1} | stream_urgency"
             })
     void invalidSettingIsNamed(String json, String key) {
         assertThatThrownBy(() -> read("{\"admission\":" + json + "}"))
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamUrgencyPolicy.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/StreamUrgencyPolicy.java
@@ -15,6 +15,9 @@
 
     @Override
     public OptionalInt urgency(RelayedRequest request) {
+        if (!context.admission().streamUrgency()) {
+            return OptionalInt.empty();
+        }
         OptionalInt urgency =
                 context.plan()
                         .get()
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -135,7 +135,7 @@
                                         () -> 0,
                                         clock),
                                 endpoint -> Optional.ofNullable(loads.get(endpoint.id())),
-                                AdmissionSettings.DEFAULT,
+                                new AdmissionSettings(true, true, 1_000, true),
                                 signals,
                                 new EndpointSpeeds(),
                                 ResponseLimits.DEFAULT,
