--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRequestAdmission.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/PlainRequestAdmission.java
@@ -15,7 +15,7 @@
  * observes. Streams, and requests of a service with an endpoint whose load or pace is not known,
  * are admitted at once. Thread-safe.
  */
-final class PlainRequestAdmission implements RequestAdmission, AttemptObserver {
+final class PlainRequestAdmission implements RelayAdmission, AttemptObserver {
 
     private static final EventLog LOG = EventLog.of(PlainRequestAdmission.class);
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestAdmission.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayAdmission.java
@@ -2,7 +2,7 @@
 
 /** Decides when a request may be placed, or refuses it. Implementations are thread-safe. */
 @FunctionalInterface
-interface RequestAdmission {
+interface RelayAdmission {
 
     /**
      * Waits until a request may be placed.
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayComponents.java
@@ -26,7 +26,7 @@
         CrashGuard crashGuard,
         RelayCandidates candidates,
         AttemptObserver observer,
-        RequestAdmission admission,
+        RelayAdmission admission,
         StandbyServices standby,
         UrgencyPolicy urgency,
         RateLimitedPlacement placement) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/TrafficRelay.java
@@ -47,7 +47,7 @@
     private final CrashGuard crashGuard;
     private final PlainRelay plainRelay;
     private final StreamRelay streamRelay;
-    private final RequestAdmission admission;
+    private final RelayAdmission admission;
     private final AtomicBoolean refusing = new AtomicBoolean();
     private volatile long requestsEndAtMs = Long.MAX_VALUE;
     private final AtomicInteger openRequests = new AtomicInteger();
@@ -263,7 +263,7 @@
                             NOT_SERVING_RETRY_AFTER_MS));
             return;
         }
-        try (RequestAdmission.Admission admitted = admission.admit(request)) {
+        try (RelayAdmission.Admission admitted = admission.admit(request)) {
             if (request.route().kind().isStream()) {
                 streamRelay.relay(request);
             } else {
