--- a/review/standins-2/CommonPart.java
+++ b/review/standins-2/CommonPart.java
@@ -18,7 +18,7 @@
     private static final int CRASH_GAP_MS = 450;
     private static final int DOWN_MS = 4_500;
     private static final int PROMPT_TOKENS = 14_000;
-    private static final int MORNING_CALLERS = 12;
+    private static final int MORNING_CALLERS = 18;
     private static final int LATER_SECONDS = 30;
     private static final int DEADLINE_MS = 25_000;
 
