--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -1,3 +1,4 @@
+import java.io.IOException;
 import java.nio.file.Path;
 
 /** One case: starts the nodes, plays the disruption unless TROUBLE is 0, and judges. */
@@ -21,6 +22,15 @@
         return 4;
     }
 
+    /** Returns how many of the nodes have a disk. */
+    int diskCount() {
+        return nodeCount();
+    }
+
+    private static Nodes newNodes(Case played, Path root) throws IOException {
+        return new Nodes(root, played.nodeCount(), played.diskCount(), played.journal);
+    }
+
     static void run(Case played, String[] arguments) throws Exception {
         Path folder = Path.of(arguments[0]).toAbsolutePath();
         Path root = Path.of("").toAbsolutePath();
@@ -29,7 +39,7 @@
         try (Journal journal = new Journal(folder)) {
             played.journal = journal;
             journal.write("trouble: %b", played.trouble);
-            try (Nodes nodes = new Nodes(root, played.nodeCount(), journal)) {
+            try (Nodes nodes = newNodes(played, root)) {
                 played.nodes = nodes;
                 nodes.startAll();
                 status = played.isBroken() ? BROKEN : HELD;
--- a/review/standins-2/Nodes.java
+++ b/review/standins-2/Nodes.java
@@ -16,7 +16,8 @@
 
 /**
  * Machines of a small deployment as processes on loopback addresses, each started with the command
- * and the settings template of the deploy file. All have a disk; the first three are the seeds.
+ * and the settings template of the deploy file. The first ones have a disk. At the first start the
+ * first three are the seeds.
  */
 final class Nodes implements AutoCloseable {
 
@@ -33,9 +34,17 @@
     private final Journal journal;
     private final String network;
     private final Process[] processes;
+    private final int disks;
+    private int firstSeed;
 
-    Nodes(Path root, int count, Journal journal) throws IOException {
+    /**
+     * Creates nodes that do not run yet.
+     *
+     * @param disks number of nodes with a disk
+     */
+    Nodes(Path root, int count, int disks, Journal journal) throws IOException {
         this.root = root;
+        this.disks = disks;
         this.journal = journal;
         this.folder = Files.createTempDirectory("review-2-");
         this.network = freeNetwork(count);
@@ -106,11 +115,7 @@
 
     /** Starts a node with the data that it had. */
     void start(int number, boolean bootstrap) throws IOException {
-        Path settings = folder.resolve("settings" + number + ".json");
-        String template =
-                Files.readString(root.resolve("deploy/settings.json.template"))
-                        .replace("{{.|json}}", platformFields(number, bootstrap));
-        Files.writeString(settings, template);
+        Path settings = writeSettings(number, bootstrap);
         ProcessBuilder builder = new ProcessBuilder(command());
         builder.directory(root.toFile());
         builder.environment().put("SAPPHIRESTACK_CONFIG", settings.toString());
@@ -120,6 +125,29 @@
         journal.write("node n%d at %s starts, pid %d", number, ip(number), processes[number].pid());
     }
 
+    private Path writeSettings(int number, boolean bootstrap) throws IOException {
+        String template = Files.readString(root.resolve("deploy/settings.json.template"));
+        return Files.writeString(
+                folder.resolve("settings" + number + ".json"),
+                template.replace("{{.|json}}", platformFields(number, bootstrap)));
+    }
+
+    /** Names other seeds in the settings of all nodes, and tells their processes by SIGHUP. */
+    void exchangeSeeds(int newFirstSeed) throws IOException, InterruptedException {
+        firstSeed = newFirstSeed;
+        for (int i = 0; i < count(); i++) {
+            writeSettings(i, false);
+            new ProcessBuilder("kill", "-HUP", Long.toString(processes[i].pid())).start().waitFor();
+        }
+        journal.write("the seeds are now n%d to n%d", firstSeed, firstSeed + SEEDS - 1);
+    }
+
+    /** Kills the process of a node. */
+    void kill(int number) throws InterruptedException {
+        journal.write("the process of n%d is killed", number);
+        processes[number].destroyForcibly().waitFor();
+    }
+
     private List<String> command() throws IOException {
         Matcher run =
                 Pattern.compile("(?m)^run = \"(.*)\"$")
@@ -133,20 +161,24 @@
     private String platformFields(int number, boolean bootstrap) throws IOException {
         String ip = ip(number);
         List<String> seeds = new ArrayList<>();
-        for (int i = 0; i < Math.min(SEEDS, processes.length); i++) {
-            seeds.add("\"" + ip(i) + ":" + CONTROL_PORT + "\"");
+        for (int i = 0; i < SEEDS; i++) {
+            seeds.add("\"" + ip(firstSeed + i) + ":" + CONTROL_PORT + "\"");
+        }
+        boolean hasDisk = number < disks;
+        Path dataDir = folder.resolve("data" + number);
+        if (hasDisk) {
+            Files.createDirectories(dataDir);
         }
-        Path dataDir = Files.createDirectories(folder.resolve("data" + number));
         return """
             {"node_name":"n%1$d","role":"sapphired","machine_class":"edge",
-             "serves":["edge","control","directory"],"ip":"%2$s","zone":"z%1$d","region":"r",
+             "serves":["edge","control","directory"],"ip":"%2$s","zone":"z%7$d","region":"r",
              "zones":{"z0":"r","z1":"r","z2":"r","z3":"r"},
              "listen":{"front":"%2$s:8740","ready":"%2$s:8749","control":"%2$s:8748",
                        "directory":"%2$s:8746"},
-             "internal_ports":[7200,7215],"seeds":[%3$s],"bootstrap":%4$b,"fault_counted":true,
+             "internal_ports":[7200,7215],"seeds":[%3$s],"bootstrap":%4$b,"fault_counted":%5$b,
              "limits":{"cpu_share":0.675,"cpu_cores":2,"memory_mb":430,"max_fds":4100,
                        "link_mbps":1000.0,"disk_mb":64},
-             "data_dir":"%5$s","discovery":"registry","entry":"directory","heartbeat_ms":1200,
+             "data_dir":"%6$s","discovery":"registry","entry":"directory","heartbeat_ms":1200,
              "contracts":["base","drain","config","cost","retry","recover","engine","stream",
                           "tenants"],
              "fault_tolerance":{"machines":1,"zones":0,"regions":0},
@@ -162,7 +194,9 @@
                         ip,
                         String.join(",", seeds),
                         bootstrap,
-                        dataDir);
+                        hasDisk,
+                        hasDisk ? dataDir : "",
+                        number % 4);
     }
 
     /** Ends a node as a loss of power does, and removes what its disk holds. */
--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -26,8 +26,12 @@
     private final ServerSocket server = new ServerSocket();
     private final long bornMs = System.currentTimeMillis();
     private final List<HttpMessage> runs = new CopyOnWriteArrayList<>();
+    private final List<Long> runTimesNs = new CopyOnWriteArrayList<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
+    private volatile String state = "ready";
+    private volatile int firstNode;
+    private int sequence;
 
     /**
      * Starts a replica.
@@ -69,25 +73,14 @@
         return runs;
     }
 
+    /** Returns the times at which requests reached this replica, by {@link System#nanoTime}. */
+    final List<Long> runTimesNs() {
+        return runTimesNs;
+    }
+
     private void beat() {
-        for (int sequence = 1; !closed; sequence++) {
-            String body =
-                    """
-                    {"service":"%s","address":"%s:%d","zone":"%s","version":"v1","slots":12,\
-                    "replica_state":"ready","cold_left_ms":0,"call_seq":%d,"born":%d}"""
-                            .formatted(
-                                    service,
-                                    address.getAddress().getHostAddress(),
-                                    address.getPort(),
-                                    zone,
-                                    sequence,
-                                    bornMs);
-            for (int i = 0; i < nodes.count() && !closed; i++) {
-                HttpMessage response = nodes.control(i, "PUT", "/replicas/" + id, body);
-                if (response != null && response.status() == 200) {
-                    break;
-                }
-            }
+        while (!closed) {
+            register();
             try {
                 Thread.sleep(HEARTBEAT_MS);
             } catch (InterruptedException e) {
@@ -96,6 +89,45 @@
         }
     }
 
+    /** Sends a heartbeat to the nodes in turn until one acknowledges it. */
+    private synchronized void register() {
+        sequence++;
+        String body =
+                """
+                {"service":"%s","address":"%s:%d","zone":"%s","version":"v1","slots":12,\
+                "replica_state":"%s","cold_left_ms":0,"call_seq":%d,"born":%d}"""
+                        .formatted(
+                                service,
+                                address.getAddress().getHostAddress(),
+                                address.getPort(),
+                                zone,
+                                state,
+                                sequence,
+                                bornMs);
+        for (int i = 0; i < nodes.count() && !closed; i++) {
+            int node = (firstNode + i) % nodes.count();
+            HttpMessage response = nodes.control(node, "PUT", "/replicas/" + id, body);
+            if (response != null && response.status() == 200) {
+                if (!state.equals("ready")) {
+                    journal.write("n%d acknowledges that %s is %s", node, id, state);
+                }
+                return;
+            }
+        }
+    }
+
+    /**
+     * Says that this replica leaves, first to a given node, and goes on to serve.
+     *
+     * @return time of the acknowledgement, by {@link System#nanoTime}
+     */
+    final long drain(int node) {
+        firstNode = node;
+        state = "draining";
+        register();
+        return System.nanoTime();
+    }
+
     private void accept() {
         while (!closed) {
             try {
@@ -135,6 +167,7 @@
             return;
         }
         runs.add(request);
+        runTimesNs.add(System.nanoTime());
         journal.write(
                 "replica %s of %s gets %s, Attempt-Id %s, Tenant %s, X-Api-Key %s, %d bytes of body",
                 id,
