--- a/review/standins-2/BigConfigurations.java
+++ b/review/standins-2/BigConfigurations.java
@@ -15,8 +15,8 @@
  */
 final class BigConfigurations extends Case {
 
-    private static final int STEPS = 11;
-    private static final int ROUTES_A_STEP = 1_400;
+    private static final int STEPS = 40;
+    private static final int ROUTES_A_STEP = 370;
     private static final int MAX_CONFIG_BYTES = 4_194_304;
 
     private static final int ORDERS_AT_ONCE = 8;
