--- a/review/standins-2/CommonPart.java
+++ b/review/CommonPart.java
@@ -52,7 +52,7 @@
     boolean isBroken() throws Exception {
         nodes.configure("1", CONFIG);
         nodes.awaitReady();
-        new Replica(nodes, journal, "i-ledger", "ledger", 20).started();
+        new SoundReplica(nodes, journal, "i-ledger", "ledger", 20).started();
         List<Engine> engines = new ArrayList<>();
         for (int i = 0; i < ENGINES; i++) {
             engines.add(startEngine("i-scribe-" + i, i));
--- a/review/standins-2/Engine.java
+++ b/review/Engine.java
@@ -5,7 +5,7 @@
  * Sound model replica: reads one prompt after the other, then sends the events of the streams. It
  * keeps no copies, as its service declares.
  */
-final class Engine extends Replica {
+final class Engine extends SoundReplica {
 
     private static final int TOKENS_PER_MS = 8;
     private static final int EVENTS = 40;
--- a/review/standins-2/SeedsWithoutDisk.java
+++ b/review/SeedsWithoutDisk.java
@@ -47,8 +47,10 @@
     boolean isBroken() throws Exception {
         nodes.configure("1", CONFIG);
         nodes.awaitReady();
-        Replica stays = new Replica(nodes, journal, "i-stays", "refill", 1).started();
-        Replica leaves = new Replica(nodes, journal, "i-leaves", "refill", 2).started();
+        SoundReplica stays =
+                new SoundReplica(nodes, journal, "i-stays", "refill", 1).started();
+        SoundReplica leaves =
+                new SoundReplica(nodes, journal, "i-leaves", "refill", 2).started();
         awaitServed(stays, leaves);
         if (trouble) {
             nodes.exchangeSeeds(DISKS);
@@ -79,13 +81,13 @@
         return late > 0;
     }
 
-    private void awaitServed(Replica... replicas) throws Failure, InterruptedException {
+    private void awaitServed(SoundReplica... replicas) throws Failure, InterruptedException {
         for (int i = 0; i < 200; i++) {
             boolean all = true;
             for (int node = 0; node < NODES; node++) {
                 all &= send(node, "warm-" + i + "-" + node);
             }
-            for (Replica replica : replicas) {
+            for (SoundReplica replica : replicas) {
                 all &= !replica.runs().isEmpty();
             }
             if (all) {
--- a/review/standins-2/Replica.java
+++ b/review/SoundReplica.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Sound replica of a plain service: registers itself and answers each request at once. */
-class Replica implements AutoCloseable {
+class SoundReplica implements AutoCloseable {
 
     private static final int HEARTBEAT_MS = 1_200;
 
@@ -39,7 +39,7 @@
      * @param id name of this start of the replica
      * @param number number of its address
      */
-    Replica(Nodes nodes, Journal journal, String id, String service, int number)
+    SoundReplica(Nodes nodes, Journal journal, String id, String service, int number)
             throws IOException {
         this.nodes = nodes;
         this.journal = journal;
@@ -52,7 +52,7 @@
     }
 
     /** Begins to register and to answer. */
-    final Replica started() {
+    final SoundReplica started() {
         start(this::accept);
         start(this::beat);
         return this;
--- a/review/standins-2/TenantNames.java
+++ b/review/TenantNames.java
@@ -34,7 +34,8 @@
         String second = trouble ? "k\u0254se" : "kose";
         nodes.configure("1", CONFIG.formatted(1, "tema", "kasoa"));
         nodes.awaitReady();
-        try (Replica replica = new Replica(nodes, journal, "i-1", "ledger", 1).started()) {
+        try (SoundReplica replica =
+                new SoundReplica(nodes, journal, "i-1", "ledger", 1).started()) {
             awaitServed();
             nodes.configure("2 with new tenants", CONFIG.formatted(2, first, second));
             Thread.sleep(CONFIG_MS + 1_000);
