Instances tell each other the voters, and acknowledge only what others learn

Cause: knowledge of the voters went only from the instance that is asked to the one that asks. Instances that start without state asked each other, and those that knew the voters only asked, too. And an announcement was acknowledged as soon as it was in the own table, also outside of the fleet, where it reaches nobody.

Change: a request for the voters carries those that the sender knows; instances that follow the control log also exchange with former members and with seeds that are no members, in random order. AnnouncementService answers 503 while no other instance can learn of an announcement, and acknowledges a leave once a neighbour has it; on both interfaces.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -31,6 +31,7 @@
 import io.sapphirestack.runtime.control.ControlWatcher;
 import io.sapphirestack.runtime.control.DefaultControlClient;
 import io.sapphirestack.runtime.control.VoterDirectory;
+import io.sapphirestack.runtime.endpoint.AnnouncementService;
 import io.sapphirestack.runtime.endpoint.DisseminationBlackboardParts;
 import io.sapphirestack.runtime.endpoint.DisseminationService;
 import io.sapphirestack.runtime.endpoint.DisseminationSources;
@@ -102,6 +103,7 @@
     private final DispatchGuard dispatchGuard;
     private final AccountLimiter accountLimiter;
     private final DisseminationService dissemination;
+    private final AnnouncementService announcements;
     private final DefaultGenerationService generations;
     private final Optional<ModelController> modelController;
     private final OrderAndReadServices orderAndReadServices;
@@ -156,6 +158,7 @@
                                 crashEvidence.histories(), MillisClock.wall(), random.nextLong()),
                         clock);
         this.dissemination = createDissemination();
+        this.announcements = new AnnouncementService(endpointRegistry, dissemination);
         this.generations = createGenerationService();
         this.modelController = localVoter.service().map(this::createModelController);
         this.orderAndReadServices =
@@ -169,19 +172,7 @@
                         crashes,
                         scheduler,
                         clock);
-        localVoter.registerGauge(metrics);
-        metrics.registerGauge(
-                "sapphire_message_memory_bytes",
-                "Memory of the requests that this instance holds, in bytes.",
-                messageMemory::reservedBytes);
-        metrics.registerGauge(
-                "sapphire_failed_memory_reservations",
-                "Reservations of message memory that found none.",
-                messageMemory::failedReservations);
-        metrics.registerGauge(
-                "sapphire_peer_transferred_bytes",
-                "Bytes sent to and received from other instances.",
-                () -> listener.loop().transferredBytes());
+        registerGauges();
         this.frontend = createFrontend();
         this.watcher = createWatcher();
         this.lifecycle =
@@ -197,6 +188,23 @@
                         clock);
     }
 
+    private void registerGauges() {
+        announcements.registerGauge(metrics);
+        localVoter.registerGauge(metrics);
+        metrics.registerGauge(
+                "sapphire_message_memory_bytes",
+                "Memory of the requests that this instance holds, in bytes.",
+                messageMemory::reservedBytes);
+        metrics.registerGauge(
+                "sapphire_failed_memory_reservations",
+                "Reservations of message memory that found none.",
+                messageMemory::failedReservations);
+        metrics.registerGauge(
+                "sapphire_peer_transferred_bytes",
+                "Bytes sent to and received from other instances.",
+                () -> listener.loop().transferredBytes());
+    }
+
     private ControlService createControlService(Path dataFolder) {
         return new ControlService(
                 ReplicationSettings.withDefaults(listener.address(), settings.voters()),
@@ -321,7 +329,7 @@
                         generations,
                         orderAndReadServices.orders(),
                         orderAndReadServices.reads(),
-                        endpointRegistry,
+                        announcements,
                         control,
                         accountLimiter::admitRequest,
                         messageMemory,
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -35,6 +35,7 @@
 import io.sapphirestack.runtime.control.DefaultControlClient;
 import io.sapphirestack.runtime.control.VoterDirectory;
 import io.sapphirestack.runtime.control.VoterDiscovery;
+import io.sapphirestack.runtime.endpoint.AnnouncementService;
 import io.sapphirestack.runtime.endpoint.DisseminationBlackboardParts;
 import io.sapphirestack.runtime.endpoint.DisseminationService;
 import io.sapphirestack.runtime.endpoint.DisseminationSources;
@@ -110,6 +111,7 @@
     private final ByteBudget messageMemory;
     private final EndpointRegistry endpointRegistry;
     private final DisseminationService dissemination;
+    private final AnnouncementService announcements;
     private final TrafficPlanStore trafficPlans;
     private final RolloutAssembly rollouts;
     private final TrafficRelay relay;
@@ -144,7 +146,15 @@
                         settings.clusterKey(),
                         listener.handlers());
         this.voters = new VoterDirectory(settings.voters());
-        this.voterDiscovery = new VoterDiscovery(voters, transport, this::instanceAddresses);
+        this.voterDiscovery =
+                new VoterDiscovery(
+                        listener.address(),
+                        voters,
+                        transport,
+                        this::instanceAddresses,
+                        () -> blackboard.configurationLease().read().isValidAt(clock.nowMs()),
+                        clock,
+                        random);
         voterDiscovery.register(listener.handlers());
         this.control = new DefaultControlClient(voters, transport, scheduler, clock);
         this.localVoter = new LocalVoter(settings.dataFolder(), this::createControlService);
@@ -176,6 +186,7 @@
                         disseminationParts.versionCounts(),
                         localVoter);
         this.dissemination = createDissemination();
+        this.announcements = new AnnouncementService(endpointRegistry, dissemination);
         this.relay = new TrafficRelay(createRelayContext(headers, copyOrders));
         this.callerListener =
                 new RelayListener(
@@ -301,6 +312,7 @@
                 "sapphire_endpoints_known",
                 "Endpoints that this instance knows.",
                 () -> blackboard.endpoints().read().byId().size());
+        announcements.registerGauge(metrics);
         knowledge.registerGauges(metrics);
         metrics.registerGauge(
                 "sapphire_caller_connections",
@@ -413,9 +425,9 @@
         return rollouts.service();
     }
 
-    /** Returns the registry that receives the announcements of endpoints. */
-    public EndpointRegistry endpoints() {
-        return endpointRegistry;
+    /** Returns the service that receives the announcements of endpoints. */
+    public AnnouncementService announcements() {
+        return announcements;
     }
 
     /**
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterDirectory.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterDirectory.java
@@ -95,11 +95,15 @@
      * index is higher. A set without addresses is ignored.
      *
      * @param voters voter set with its log index
+     * @return whether the addresses of the known voter set have changed
      */
-    public void updateIfNewer(FindVotersRequest.Voters voters) {
+    public boolean updateIfNewer(FindVotersRequest.Voters voters) {
         if (voters.addresses().isEmpty()) {
-            return;
+            return false;
         }
-        learned.updateAndGet(known -> voters.index() > known.index() ? voters : known);
+        FindVotersRequest.Voters previous =
+                learned.getAndUpdate(known -> voters.index() > known.index() ? voters : known);
+        return voters.index() > previous.index()
+                && !Set.copyOf(voters.addresses()).equals(Set.copyOf(previous.addresses()));
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBatch.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationBatch.java
@@ -70,6 +70,19 @@
                 sender, tree, null, null, null, null, byParts, null, byRequest, null);
     }
 
+    /**
+     * Creates a batch that contains endpoint reports only.
+     *
+     * @param sender sending instance
+     * @param tree fingerprint of the sender's tree
+     * @param reports endpoint reports
+     * @return batch
+     */
+    static DisseminationBatch ofReports(InstanceId sender, int tree, byte[] reports) {
+        return new DisseminationBatch(
+                sender, tree, reports, null, null, null, null, null, null, null);
+    }
+
     /** Returns whether the batch contains nothing to apply. */
     boolean hasNoContent() {
         return r.length + u.length + f.length + b.length + q.length + l.length + h.length + o.length
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
@@ -7,7 +7,6 @@
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.limit.AccountUsageTable;
-import io.sapphirestack.core.membership.CacheEvent;
 import io.sapphirestack.core.membership.DisseminationTree;
 import io.sapphirestack.core.membership.EndpointReport;
 import io.sapphirestack.core.membership.InFlightAggregator;
@@ -26,7 +25,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -91,7 +89,7 @@
     private final VersionCountsAggregator versionCounts = new VersionCountsAggregator();
     private final EvidenceExchange<CrashReport> crashReports;
     private final EvidenceExchange<CrashHistory> crashHistories;
-    private final Map<InstanceId, Neighbour> neighbours = new HashMap<>();
+    private final Map<InstanceId, DisseminationNeighbour> neighbours = new HashMap<>();
     private Set<InstanceInfo> treeMembers = Set.of();
     private InstanceId ownId;
     private DisseminationTree tree = new DisseminationTree(List.of(), 1);
@@ -141,20 +139,6 @@
         sources.crashEvidence().setChangeListener(crashBatches::request);
     }
 
-    /** Reports queued for a neighbour and the state of its exchanges. */
-    private static final class Neighbour {
-        private final InstanceInfo info;
-        private final Map<EndpointId, EndpointReport> pending = new LinkedHashMap<>();
-        private final Map<EndpointId, Long> pendingSinceMs = new HashMap<>();
-        private long nextExchangeMs;
-        private boolean exchangeInFlight;
-
-        Neighbour(InstanceInfo info, long nextExchangeMs) {
-            this.info = info;
-            this.nextExchangeMs = nextExchangeMs;
-        }
-    }
-
     /**
      * Registers the message handlers; must be called before the transport starts.
      *
@@ -183,8 +167,8 @@
     void sendCrashes() {
         List<Runnable> sends = new ArrayList<>();
         synchronized (lock) {
-            for (Neighbour neighbour : neighbours.values()) {
-                InstanceId id = neighbour.info.ref().id();
+            for (DisseminationNeighbour neighbour : neighbours.values()) {
+                InstanceId id = neighbour.id();
                 DisseminationBatch batch =
                         DisseminationBatch.ofCrashes(
                                 ownId,
@@ -199,6 +183,52 @@
         sends.forEach(Runnable::run);
     }
 
+    /**
+     * Returns whether the other instances learn what this one is told: it is in the dissemination
+     * tree, and a neighbour has responded to the last call, or there is no other instance.
+     */
+    public boolean isConnected() {
+        synchronized (lock) {
+            return isInTree()
+                    && (neighbours.isEmpty()
+                            || neighbours.values().stream().anyMatch(n -> n.responded));
+        }
+    }
+
+    private boolean isInTree() {
+        return ownId != null && tree.contains(ownId);
+    }
+
+    /**
+     * Sends what this instance knows of an endpoint to its neighbours at once.
+     *
+     * @param id name of the endpoint
+     * @return future with whether another instance has received it, or there is no other instance
+     */
+    CompletableFuture<Boolean> passOn(EndpointId id) {
+        CompletableFuture<Boolean> received = new CompletableFuture<>();
+        List<CompletableFuture<Boolean>> sends;
+        synchronized (lock) {
+            if (!isInTree() || neighbours.isEmpty()) {
+                return CompletableFuture.completedFuture(isInTree());
+            }
+            DisseminationBatch batch =
+                    DisseminationBatch.ofReports(
+                            ownId, tree.fingerprint(), registry.encode(registry.fullReport(id)));
+            sends = neighbours.values().stream().map(n -> send(n, batch)).toList();
+        }
+        sends.forEach(sent -> sent.thenAccept(ok -> completeIf(received, ok)));
+        CompletableFuture.allOf(sends.toArray(CompletableFuture[]::new))
+                .thenRun(() -> received.complete(false));
+        return received;
+    }
+
+    private static void completeIf(CompletableFuture<Boolean> future, boolean value) {
+        if (value) {
+            future.complete(true);
+        }
+    }
+
     @Override
     public void close() {
         crashBatches.close();
@@ -220,7 +250,7 @@
         synchronized (lock) {
             updateTree();
             long nowMs = clock.nowMs();
-            for (Neighbour neighbour : neighbours.values()) {
+            for (DisseminationNeighbour neighbour : neighbours.values()) {
                 boolean exchangeDue =
                         nowMs >= neighbour.nextExchangeMs && !neighbour.exchangeInFlight;
                 DisseminationBatch batch =
@@ -265,9 +295,12 @@
                         ? Map.of()
                         : tree.neighbours(id).stream()
                                 .collect(Collectors.toMap(i -> i.ref().id(), i -> i));
-        neighbours.values().removeIf(n -> !n.info.equals(next.get(n.info.ref().id())));
+        neighbours.values().removeIf(n -> !n.info.equals(next.get(n.id())));
         long nowMs = clock.nowMs();
-        next.forEach((n, info) -> neighbours.computeIfAbsent(n, x -> new Neighbour(info, nowMs)));
+        next.forEach(
+                (n, info) ->
+                        neighbours.computeIfAbsent(
+                                n, x -> new DisseminationNeighbour(info, nowMs)));
         if (id != null && tree.contains(id) && neighbours.isEmpty()) {
             registry.endHold();
         }
@@ -284,72 +317,41 @@
     }
 
     private DisseminationBatch nextBatch(
-            Neighbour neighbour,
+            DisseminationNeighbour neighbour,
             AccountUsageTable localUsage,
             Map<Integer, Integer> localInFlight,
             boolean probe,
             long nowMs) {
-        List<EndpointReport> reports = new ArrayList<>(neighbour.pending.size());
-        int events = 0;
         int maxEvents =
                 registry.endpointCount() <= InFlightAggregator.MAX_ENDPOINTS
                         ? MAX_CACHE_EVENTS
                         : MAX_CACHE_EVENTS_LARGE_FLEET;
-        for (EndpointReport report : neighbour.pending.values()) {
-            EndpointReport limited = limitCacheEvents(report, maxEvents - events);
-            events += limited.cacheEvents().size();
-            long queuedMs = nowMs - neighbour.pendingSinceMs.get(report.id());
-            reports.add(limited.withAge(report.ageMs() + queuedMs));
-        }
-        neighbour.pending.clear();
-        neighbour.pendingSinceMs.clear();
+        List<EndpointReport> reports = neighbour.pending.takeAll(maxEvents, nowMs);
         return new DisseminationBatch(
                 ownId,
                 tree.fingerprint(),
                 registry.encode(reports),
-                usage.encodeFor(
-                        neighbour.info.ref().id(),
-                        localUsage,
-                        sources.urgentAccount(),
-                        probe,
-                        nowMs),
-                inFlight.encodeFor(neighbour.info.ref().id(), localInFlight, probe),
+                usage.encodeFor(neighbour.id(), localUsage, sources.urgentAccount(), probe, nowMs),
+                inFlight.encodeFor(neighbour.id(), localInFlight, probe),
                 retryBudgets.encodeFor(
-                        neighbour.info.ref().id(),
-                        sources.retryBudgetUse().get().byHandle(),
-                        probe),
-                crashReports.encodeFor(neighbour.info.ref().id()),
-                rateLimits.encodeFor(neighbour.info.ref().id(), sources.rateLimits().get(), probe),
-                crashHistories.encodeFor(neighbour.info.ref().id()),
-                versionCounts.encodeFor(
-                        neighbour.info.ref().id(), sources.versionCounts().get(), probe));
-    }
-
-    /** Keeps only the latest events, because they describe the current state of the cache best. */
-    private static EndpointReport limitCacheEvents(EndpointReport report, int limit) {
-        List<CacheEvent> all = report.cacheEvents();
-        if (all.size() <= limit) {
-            return report;
-        }
-        return new EndpointReport(
-                report.id(),
-                report.epochMs(),
-                report.sequence(),
-                report.detailsSequence(),
-                report.ageMs(),
-                report.load(),
-                report.details(),
-                all.subList(all.size() - limit, all.size()));
+                        neighbour.id(), sources.retryBudgetUse().get().byHandle(), probe),
+                crashReports.encodeFor(neighbour.id()),
+                rateLimits.encodeFor(neighbour.id(), sources.rateLimits().get(), probe),
+                crashHistories.encodeFor(neighbour.id()),
+                versionCounts.encodeFor(neighbour.id(), sources.versionCounts().get(), probe));
     }
 
-    private void send(Neighbour neighbour, DisseminationBatch batch) {
-        transport
+    /** Sends a batch; the future has whether the neighbour has received it, and never fails. */
+    private CompletableFuture<Boolean> send(
+            DisseminationNeighbour neighbour, DisseminationBatch batch) {
+        return transport
                 .call(neighbour.info.peerAddress(), batch, CALL_TIMEOUT_MS)
-                .whenComplete(
+                .handle(
                         (ack, failure) -> {
+                            recordOutcome(neighbour, failure == null);
                             if (failure != null) {
                                 handleSendFailure(neighbour);
-                                return;
+                                return false;
                             }
                             if (ack.x()) {
                                 sendFullSumsNext(neighbour);
@@ -357,28 +359,35 @@
                             if (!ack.m().isEmpty()) {
                                 enqueueTo(neighbour, registry.fullReports(ack.m()));
                             }
+                            return true;
                         });
     }
 
+    private void recordOutcome(DisseminationNeighbour neighbour, boolean responded) {
+        synchronized (lock) {
+            neighbour.responded = responded;
+        }
+    }
+
     /**
      * Makes an exchange due at once, because the neighbour may lack the details of a failed batch.
      */
-    private void handleSendFailure(Neighbour neighbour) {
+    private void handleSendFailure(DisseminationNeighbour neighbour) {
         synchronized (lock) {
-            neighbour.nextExchangeMs = Math.min(neighbour.nextExchangeMs, clock.nowMs());
+            neighbour.exchangeBy(clock.nowMs());
             sendFullSumsNext(neighbour);
         }
     }
 
-    private void sendFullSumsNext(Neighbour neighbour) {
+    private void sendFullSumsNext(DisseminationNeighbour neighbour) {
         synchronized (lock) {
-            usage.sendFullNext(neighbour.info.ref().id());
-            inFlight.sendFullNext(neighbour.info.ref().id());
-            retryBudgets.sendFullNext(neighbour.info.ref().id());
-            rateLimits.sendFullNext(neighbour.info.ref().id());
-            versionCounts.sendFullNext(neighbour.info.ref().id());
-            crashReports.sendAllNext(neighbour.info.ref().id());
-            crashHistories.sendAllNext(neighbour.info.ref().id());
+            usage.sendFullNext(neighbour.id());
+            inFlight.sendFullNext(neighbour.id());
+            retryBudgets.sendFullNext(neighbour.id());
+            rateLimits.sendFullNext(neighbour.id());
+            versionCounts.sendFullNext(neighbour.id());
+            crashReports.sendAllNext(neighbour.id());
+            crashHistories.sendAllNext(neighbour.id());
         }
     }
 
@@ -407,31 +416,21 @@
             return;
         }
         synchronized (lock) {
-            for (Neighbour neighbour : neighbours.values()) {
-                if (!neighbour.info.ref().id().equals(sender)) {
-                    reports.forEach(report -> queue(neighbour, report));
+            for (DisseminationNeighbour neighbour : neighbours.values()) {
+                if (!neighbour.id().equals(sender)) {
+                    neighbour.queue(reports, clock.nowMs());
                 }
             }
         }
     }
 
-    private void enqueueTo(Neighbour neighbour, Collection<EndpointReport> reports) {
+    private void enqueueTo(DisseminationNeighbour neighbour, Collection<EndpointReport> reports) {
         synchronized (lock) {
-            reports.forEach(report -> queue(neighbour, report));
-        }
-    }
-
-    /** Queues a report, combined with one of the same endpoint that is already queued. */
-    private void queue(Neighbour neighbour, EndpointReport report) {
-        EndpointReport old = neighbour.pending.get(report.id());
-        EndpointReport next = old == null ? report : PendingReports.combine(old, report);
-        if (next != old) {
-            neighbour.pending.put(report.id(), next);
-            neighbour.pendingSinceMs.put(report.id(), clock.nowMs());
+            neighbour.queue(reports, clock.nowMs());
         }
     }
 
-    private void startExchange(Neighbour neighbour) {
+    private void startExchange(DisseminationNeighbour neighbour) {
         exchange(neighbour, new AntiEntropyRequest(ownId, registry.digest(), Map.of(), false))
                 .thenCompose(
                         reply ->
@@ -448,22 +447,24 @@
     }
 
     private CompletableFuture<AntiEntropyRequest.AntiEntropyReply> exchange(
-            Neighbour neighbour, AntiEntropyRequest request) {
+            DisseminationNeighbour neighbour, AntiEntropyRequest request) {
         return transport.call(neighbour.info.peerAddress(), request, CALL_TIMEOUT_MS);
     }
 
     private void endExchange(
-            Neighbour neighbour, AntiEntropyRequest.AntiEntropyReply reply, Throwable failure) {
+            DisseminationNeighbour neighbour,
+            AntiEntropyRequest.AntiEntropyReply reply,
+            Throwable failure) {
+        recordOutcome(neighbour, failure == null);
         synchronized (lock) {
             neighbour.exchangeInFlight = false;
             if (failure != null) {
                 // Retries soon, because after a failed exchange the neighbour may lack details.
-                neighbour.nextExchangeMs =
-                        Math.min(neighbour.nextExchangeMs, clock.nowMs() + CALL_TIMEOUT_MS);
+                neighbour.exchangeBy(clock.nowMs() + CALL_TIMEOUT_MS);
                 return;
             }
         }
-        enqueue(registry.mergeBatch(reply.reports()).newer(), neighbour.info.ref().id());
+        enqueue(registry.mergeBatch(reply.reports()).newer(), neighbour.id());
         registry.endHold();
         enqueueTo(neighbour, registry.fullReports(reply.wanted()));
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
@@ -36,7 +36,7 @@
  * part of the blackboard, and updates the prefix index. Removes endpoints whose last report is too
  * old. Thread-safe.
  */
-public final class EndpointRegistry implements AnnouncementReceiver {
+public final class EndpointRegistry {
     private static final Logger LOG = Logger.getLogger(EndpointRegistry.class);
     private static final String STEP = "announcement";
 
@@ -104,7 +104,14 @@
         publishIfChanged();
     }
 
-    @Override
+    /**
+     * Checks the key of an announcement and merges it.
+     *
+     * @param announcement announcement of an endpoint
+     * @param bearerKey bearer key sent with the announcement
+     * @throws RefusedException if the key is wrong, the service is unknown, or an endpoint of
+     *     another service with a recent report has the same name
+     */
     public void receive(EndpointAnnouncement announcement, String bearerKey)
             throws RefusedException {
         ServiceSpec service =
@@ -338,6 +345,15 @@
         return reports;
     }
 
+    /** Returns the report with details of an endpoint, empty if it is unknown. */
+    List<EndpointReport> fullReport(EndpointId id) {
+        synchronized (lock) {
+            return table.find(id)
+                    .map(endpoint -> List.of(endpoint.toReport(clock.nowMs())))
+                    .orElse(List.of());
+        }
+    }
+
     /**
      * Replaces endpoint names by handles.
      *
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/PendingReports.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/PendingReports.java
@@ -1,15 +1,72 @@
 package io.sapphirestack.runtime.endpoint;
 
+import io.sapphirestack.core.id.EndpointId;
 import io.sapphirestack.core.membership.CacheEvent;
 import io.sapphirestack.core.membership.EndpointDetails;
 import io.sapphirestack.core.membership.EndpointReport;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
-/** Combines reports of one endpoint that are queued for the same batch. */
+/** Endpoint reports that are queued for the next batch to a neighbour. Not thread-safe. */
 final class PendingReports {
-    private PendingReports() {}
+
+    private final Map<EndpointId, EndpointReport> byId = new LinkedHashMap<>();
+    private final Map<EndpointId, Long> queuedAtMs = new HashMap<>();
+
+    /**
+     * Queues a report, combined with one of the same endpoint that is already queued.
+     *
+     * @param report report
+     * @param nowMs time on the monotonic clock, in milliseconds
+     */
+    void add(EndpointReport report, long nowMs) {
+        EndpointReport old = byId.get(report.id());
+        EndpointReport next = old == null ? report : combine(old, report);
+        if (next != old) {
+            byId.put(report.id(), next);
+            queuedAtMs.put(report.id(), nowMs);
+        }
+    }
+
+    /**
+     * Removes and returns all reports, older by the time for which they were queued.
+     *
+     * @param maxCacheEvents maximum number of cache events in all reports together
+     * @param nowMs time on the monotonic clock, in milliseconds
+     */
+    List<EndpointReport> takeAll(int maxCacheEvents, long nowMs) {
+        List<EndpointReport> reports = new ArrayList<>(byId.size());
+        int events = 0;
+        for (EndpointReport report : byId.values()) {
+            EndpointReport limited = limitCacheEvents(report, maxCacheEvents - events);
+            events += limited.cacheEvents().size();
+            reports.add(limited.withAge(report.ageMs() + nowMs - queuedAtMs.get(report.id())));
+        }
+        byId.clear();
+        queuedAtMs.clear();
+        return reports;
+    }
+
+    /** Keeps only the latest events, because they describe the current state of the cache best. */
+    private static EndpointReport limitCacheEvents(EndpointReport report, int limit) {
+        List<CacheEvent> all = report.cacheEvents();
+        if (all.size() <= limit) {
+            return report;
+        }
+        return new EndpointReport(
+                report.id(),
+                report.epochMs(),
+                report.sequence(),
+                report.detailsSequence(),
+                report.ageMs(),
+                report.load(),
+                report.details(),
+                all.subList(all.size() - limit, all.size()));
+    }
 
     /**
      * Combines two reports of one endpoint into one with the newer load, the newer details and the
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/AbstractDisseminationTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/AbstractDisseminationTests.java
@@ -31,12 +31,14 @@
 import io.sapphirestack.runtime.transport.PeerTransport;
 import io.sapphirestack.runtime.transport.TransportException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Fleet whose instances have the real registry and dissemination service, in one process with a
@@ -60,7 +62,9 @@
     Random random = new Random(1);
     final Map<String, Member> byAddress = new HashMap<>();
     final List<Member> members = new ArrayList<>();
-    final List<Runnable> network = new ArrayList<>();
+
+    /** Calls on their way; a blocking announcement adds some while they are delivered. */
+    final List<Runnable> network = Collections.synchronizedList(new ArrayList<>());
 
     /** Maximum number of endpoints for which the members disseminate requests in flight. */
     int maxInFlightEndpoints = InFlightAggregator.MAX_ENDPOINTS;
@@ -69,7 +73,7 @@
     int failurePercent;
 
     /** Number of batches with reports sent over each directed edge. */
-    final Map<String, Integer> sendsByEdge = new HashMap<>();
+    final Map<String, Integer> sendsByEdge = new ConcurrentHashMap<>();
 
     /** Instance with the real registry and dissemination service and a simulated transport. */
     final class Member implements PeerTransport, PeerHandlerRegistry {
