A restarted instance uses no endpoint before it has joined, however long that takes

Cause: the hold after a restart ended 4 s after the process was created, also if the instance had not joined by then. The time is meant for an instance that has joined and whose neighbours do not respond; on a busy machine joining alone takes longer. The project's own interface had no hold at all.

Change: the 4 s begin when the instance is in the dissemination tree; until then it publishes no endpoint. InstanceAssembly holds as well.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -140,6 +140,7 @@
         PrefixIndex prefixes = new PrefixIndex();
         this.endpointRegistry =
                 new EndpointRegistry(blackboard.endpoints(), catalog::service, prefixes, clock);
+        endpointRegistry.holdUntilFirstExchange(EndpointRegistry.MAX_HOLD_MS);
         this.routing = createRoutingStrategy(prefixes);
         this.dispatchGuard =
                 new DefaultDispatchGuard(
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -81,12 +81,6 @@
      */
     private static final int IN_FLIGHT_REPORT_LIMIT_ENDPOINTS = 400;
 
-    /**
-     * Longest time for which a restarted instance uses no endpoint because no other instance has
-     * told what it knows, in milliseconds.
-     */
-    private static final long ENDPOINT_HOLD_MS = 4_000;
-
     private static final long LEARN_VOTERS_INTERVAL_MS = 300;
     private static final long STOP_TIMEOUT_MS = 2_000;
     private static final long VOTER_STOP_TIMEOUT_MS = 1_000;
@@ -173,7 +167,7 @@
                 new EndpointRegistry(
                         blackboard.endpoints(), name -> Optional.empty(), new PrefixIndex(), clock);
         if (!settings.isFirstStart()) {
-            endpointRegistry.holdUntilFirstExchange(ENDPOINT_HOLD_MS);
+            endpointRegistry.holdUntilFirstExchange(EndpointRegistry.MAX_HOLD_MS);
         }
         this.trafficPlans =
                 new TrafficPlanStore(control, control, blackboard.control()::read, decoder);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
@@ -301,8 +301,8 @@
                 (n, info) ->
                         neighbours.computeIfAbsent(
                                 n, x -> new DisseminationNeighbour(info, nowMs)));
-        if (id != null && tree.contains(id) && neighbours.isEmpty()) {
-            registry.endHold();
+        if (isInTree()) {
+            registry.recordJoined(!neighbours.isEmpty());
         }
         usage.retainNeighbours(neighbours.keySet());
         inFlight.retainNeighbours(neighbours.keySet());
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
@@ -37,8 +37,16 @@
  * old. Thread-safe.
  */
 public final class EndpointRegistry {
+
+    /**
+     * Longest time for which an instance that has restarted and joined uses no endpoint because no
+     * other instance has told what it knows, in milliseconds.
+     */
+    public static final long MAX_HOLD_MS = 4_000;
+
     private static final Logger LOG = Logger.getLogger(EndpointRegistry.class);
     private static final String STEP = "announcement";
+    private static final long HELD_UNTIL_JOINED = Long.MAX_VALUE;
 
     private final BlackboardPart<EndpointTable> endpoints;
     private final Function<String, Optional<ServiceSpec>> services;
@@ -48,6 +56,7 @@
     private final Object lock = new Object();
     private final ReportTable table = new ReportTable();
     private Consumer<EndpointReport> reportListener = report -> {};
+    private long maxHoldMs;
     private long heldUntilMs;
     private boolean changed;
 
@@ -87,12 +96,31 @@
      * Publishes no endpoint until another instance has told what it knows. An instance that has
      * just started cannot tell an old announcement, which is delivered late, from a new one.
      *
-     * @param maxMs time after which endpoints are published all the same, in milliseconds, for an
-     *     instance that reaches no other one
+     * @param maxMs time from joining the fleet after which endpoints are published all the same, in
+     *     milliseconds, for an instance that reaches no other one
      */
     public void holdUntilFirstExchange(long maxMs) {
         synchronized (lock) {
-            heldUntilMs = clock.nowMs() + maxMs;
+            maxHoldMs = maxMs;
+            heldUntilMs = HELD_UNTIL_JOINED;
+        }
+    }
+
+    /**
+     * Records that this instance is in the fleet. The hold ends if it is the only one; otherwise it
+     * lasts for the longest time from the first call on.
+     *
+     * @param hasNeighbours whether there are others to exchange with
+     */
+    void recordJoined(boolean hasNeighbours) {
+        if (!hasNeighbours) {
+            endHold();
+            return;
+        }
+        synchronized (lock) {
+            if (heldUntilMs == HELD_UNTIL_JOINED) {
+                heldUntilMs = clock.nowMs() + maxHoldMs;
+            }
         }
     }
 
