The response to an order is not lost for its content type

Callers of the project's own interface saw: an order had run, and the connection was closed without a response, if the service's Content-Type named a charset that the JVM does not have ("charset=none-such").

Cause: RequestDispatcher parsed the content type to write it again, and the HTTP library rejects what it cannot interpret.

Change: the field is written as it came.

Measured: orderWithAnyContentTypeGetsItsResponse failed in 2 of 4 cases before ("header parser received no bytes") and passes.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
@@ -18,10 +18,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
-import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.HttpServerRequestHandler;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
@@ -240,21 +240,18 @@
             throws HttpException, IOException {
         ClassicHttpResponse httpResponse = new BasicClassicHttpResponse(response.status());
         response.headers().forEach(httpResponse::setHeader);
+        if (response.contentType() != null && !response.contentType().isEmpty()) {
+            // Not parsed: the content type of an endpoint may have a form that the library rejects.
+            httpResponse.setHeader(HttpHeaders.CONTENT_TYPE, response.contentType());
+        }
         boolean closeConnection = closeAfterRequests || !discardBody(request, response);
         if (closeConnection) {
             httpResponse.setHeader("Connection", "close");
         }
         if (response.writer() != null) {
-            httpResponse.setEntity(
-                    new EntityTemplate(
-                            -1,
-                            ContentType.parse(response.contentType()),
-                            null,
-                            response.writer()::writeTo));
+            httpResponse.setEntity(new EntityTemplate(-1, null, null, response.writer()::writeTo));
         } else if (response.body() != null) {
-            httpResponse.setEntity(
-                    new ByteArrayEntity(
-                            response.body(), ContentType.parse(response.contentType()), false));
+            httpResponse.setEntity(new ByteArrayEntity(response.body(), null, false));
         }
         trigger.submitResponse(httpResponse);
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests of admission, authentication and size limits. Guards against requests that are admitted
@@ -147,6 +149,24 @@
                 "unauthorized");
     }
 
+    /** The order has run, so its response must not be lost for a content type of any form. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "text/plain; charset=none-such",
+                "text/plain; charset=\u0001",
+                "no type; ;=",
+                "text/plain; n=\u00c9\u009b"
+            })
+    void orderWithAnyContentTypeGetsItsResponse(String contentType) throws Exception {
+        server.contentType = contentType;
+
+        HttpResponse<String> response = order();
+
+        assertThat(response.statusCode()).isEqualTo(201);
+        assertThat(response.body()).isEqualTo("content");
+    }
+
     @Test
     void orderAndItsOutcomeAreMappedToResponses() throws Exception {
         HttpResponse<String> response = order();
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/HttpTestServer.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/HttpTestServer.java
@@ -64,6 +64,10 @@
             command -> new ControlResult.RecordAccepted(11);
     volatile FleetStatus fleet = new FleetStatus("127.0.0.1:1", 10, List.of());
     volatile RuntimeException readFailure;
+
+    /** Content type of the responses of endpoints. */
+    volatile String contentType = "text/plain";
+
     volatile ControlResult outcome = new ControlResult.OrderNotFound();
     final HttpFrontend frontend;
     private static final long MEMORY_BYTES = 16L * 1_024 * 1_024;
@@ -83,7 +87,7 @@
                     @Override
                     public ServiceResponse submit(OrderRequest request) {
                         orders.add(request);
-                        return new ServiceResponse(201, "text/plain", request.body(), "l1");
+                        return new ServiceResponse(201, contentType, request.body(), "l1");
                     }
 
                     @Override
@@ -97,7 +101,7 @@
                     if (readFailure != null) {
                         throw readFailure;
                     }
-                    return new ServiceResponse(200, "text/plain", path.getBytes(), "l1");
+                    return new ServiceResponse(200, contentType, path.getBytes(), "l1");
                 };
         AnnouncementReceiver receiver = (announcement, key) -> {};
         MillisClock monotonic = MillisClock.monotonic();
