Header fields carry names as UTF-8, and octets arrive unchanged

Cause: a field value is a sequence of octets, but strings were handed to the HTTP library, which writes a question mark for what it does not know: every character beyond U+00FF, and every octet from 0x80 to 0x9F.

Change: HeaderText turns text into octets (UTF-8; an extended value of RFC 8187 for what no field can carry), HeadCharset writes octets on all connections, and a plan in which two names would get the same value is rejected.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointAnnouncement.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/EndpointAnnouncement.java
@@ -45,7 +45,7 @@
     /** Maximum length of the version of an endpoint, in characters. */
     public static final int MAX_VERSION_CHARS = 128;
 
-    private static final Pattern ADDRESS = Pattern.compile("[^:\\s]+:([0-9]{1,5})");
+    private static final Pattern ADDRESS = Pattern.compile("[!-~&&[^:]]+:([0-9]{1,5})");
     private static final int MAX_PORT = 65_535;
 
     /**
@@ -70,8 +70,9 @@
     }
 
     /**
-     * Returns whether a text is {@code host:port} with a port that can be connected to. An address
-     * of another form would fail in each request that is sent there.
+     * Returns whether a text is {@code host:port} with a port that can be connected to, in
+     * printable ASCII characters, because header fields carry it. An address of another form would
+     * fail in each request that is sent there.
      *
      * @param text text to check
      */
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
@@ -157,7 +157,7 @@
     /**
      * Finds the account of a key.
      *
-     * @param key API key of a request
+     * @param key API key as the header field of a request carries it, see {@link HeaderText}
      * @return the account, or empty if no account has this key
      */
     public Optional<RelayedAccount> account(String key) {
@@ -173,6 +173,9 @@
             throws TrafficPlanException {
         Map<String, RelayedService> index = new HashMap<>();
         for (RelayedService service : services) {
+            check(
+                    HeaderText.isEncodable(service.name()),
+                    "the name of a service is not valid Unicode");
             check(
                     index.put(service.name(), service) == null,
                     "duplicate service name " + service.name());
@@ -237,12 +240,30 @@
     private static Map<String, RelayedAccount> indexAccounts(List<RelayedAccount> accounts)
             throws TrafficPlanException {
         Map<String, RelayedAccount> index = new HashMap<>();
+        Map<String, String> namesByValue = new HashMap<>();
+        Map<String, RelayedAccount> keys = new HashMap<>();
         for (RelayedAccount account : accounts) {
+            check(
+                    HeaderText.isEncodable(account.name()),
+                    "the name of an account is not valid Unicode");
+            String other = namesByValue.put(HeaderText.valueOf(account.name()), account.name());
+            check(
+                    other == null || other.equals(account.name()),
+                    "endpoints cannot tell the accounts "
+                            + account.name()
+                            + " and "
+                            + other
+                            + " apart");
             for (String key : account.keys()) {
-                RelayedAccount other = index.put(key, account);
+                RelayedAccount owner = keys.put(key, account);
                 check(
-                        other == null || other == account,
+                        owner == null || owner == account,
                         "account " + account.name() + " shares a key with another account");
+                check(
+                        HeaderText.isEncodable(key),
+                        "a key of account " + account.name() + " is not valid Unicode");
+                // No request can carry the other keys.
+                HeaderText.octetsOf(key).ifPresent(octets -> index.put(octets, account));
             }
         }
         return Map.copyOf(index);
--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/TrafficPlanTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/TrafficPlanTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against accepting contradictory plans and against selecting the wrong route. */
 class TrafficPlanTests {
@@ -110,4 +111,58 @@
         assertThat(route("/x/", 10, to("a", 90), to("b", 10)).pickService(fraction))
                 .isEqualTo(service);
     }
+
+    /** Endpoints keep the data of accounts apart by name (review/10). */
+    @ParameterizedTest
+    @CsvSource({
+        // The second name is the encoded form of the first.
+        "'shop ', UTF-8''shop%20",
+        // Text that no receiver can decode.
+        "\ud800, shop",
+        "shop, a\udc00"
+    })
+    void accountsThatEndpointsCannotTellApartAreRejected(String first, String second) {
+        assertThatThrownBy(() -> planOf(first, second)).isInstanceOf(TrafficPlanException.class);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "k\u025bse, k\u0254se",
+        "\u00e9, e\u0301",
+        "'shop ', shop",
+        "'', ' '",
+        "'a\tb', a b",
+        "50%, 50%25"
+    })
+    void accountsHaveDifferentFieldValues(String first, String second) throws TrafficPlanException {
+        planOf(first, second);
+
+        assertThat(HeaderText.valueOf(first)).isNotEqualTo(HeaderText.valueOf(second));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\ud800", "a\udc00b"})
+    void keyThatIsNotValidUnicodeIsRejected(String key) {
+        assertThatThrownBy(
+                        () ->
+                                new TrafficPlan(
+                                        1,
+                                        List.of(),
+                                        SERVICES,
+                                        List.of(new RelayedAccount("one", List.of(key))),
+                                        CallerLimits.DEFAULT))
+                .isInstanceOf(TrafficPlanException.class);
+    }
+
+    private static TrafficPlan planOf(String firstAccount, String secondAccount)
+            throws TrafficPlanException {
+        return new TrafficPlan(
+                1,
+                List.of(),
+                SERVICES,
+                List.of(
+                        new RelayedAccount(firstAccount, List.of("k1")),
+                        new RelayedAccount(secondAccount, List.of("k2"))),
+                CallerLimits.DEFAULT);
+    }
 }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/DaemonLogManager.java
@@ -2,6 +2,12 @@
 
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.metrics.EventLog;
+import java.io.BufferedOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
@@ -30,13 +36,23 @@
         Level level = Boolean.getBoolean("sapphire.debug") ? Level.FINE : Level.INFO;
         BoundedLogHandler handler =
                 new BoundedLogHandler(
-                        System.out, MillisClock.monotonic(), DaemonLogManager::logDroppedLines);
+                        outputOf(new FileOutputStream(FileDescriptor.out)),
+                        MillisClock.monotonic(),
+                        DaemonLogManager::logDroppedLines);
         handler.setLevel(level);
         root.addHandler(handler);
         root.setLevel(Level.INFO);
         Logger.getLogger("io.sapphirestack").setLevel(level);
     }
 
+    /**
+     * Returns a stream for log lines, which are JSON and therefore UTF-8. The charset of standard
+     * output may lack characters of names.
+     */
+    static PrintStream outputOf(OutputStream out) {
+        return new PrintStream(new BufferedOutputStream(out), false, StandardCharsets.UTF_8);
+    }
+
     @Override
     public void reset() {
         // Empty: the JDK's shutdown hook calls it, and it would remove the handlers. The call at
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/BoundedLogHandlerTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/BoundedLogHandlerTests.java
@@ -44,6 +44,19 @@
         assertThat(reportedDrops.get()).isEqualTo(linesBeyondLimit);
     }
 
+    /** Two accounts must not become one in the log, whatever the charset of the process is. */
+    @Test
+    void namesOutsideOfAsciiAreWrittenAsUtf8() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        BoundedLogHandler handler =
+                new BoundedLogHandler(DaemonLogManager.outputOf(bytes), () -> 0, dropped -> {});
+
+        handler.publish(new LogRecord(Level.INFO, "SAP1201 line {\"account\":\"k\u025bse\"}"));
+        handler.flush();
+
+        assertThat(bytes.toString(StandardCharsets.UTF_8)).contains("\"k\u025bse\"");
+    }
+
     /** A line that cannot be written must not end the log of the process. */
     @Test
     void linesAreWrittenAfterOneThatFailed() {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/MeteredServerConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/MeteredServerConnection.java
@@ -35,7 +35,7 @@
                 "http",
                 config,
                 null,
-                null,
+                HeadCharset.encoder(),
                 null,
                 null,
                 ignored -> new MeteredParser(config, meter),
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.endpoint;
 
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.connection.HeadCharset;
 import io.sapphirestack.runtime.connection.TrackedSocket;
 import java.io.Closeable;
 import java.io.IOException;
@@ -71,7 +72,8 @@
             socket.setTcpNoDelay(true);
             socket.connect(target, Math.toIntExact(connectTimeoutMs));
             DefaultBHttpClientConnection connection =
-                    new DefaultBHttpClientConnection(Http1Config.DEFAULT);
+                    new DefaultBHttpClientConnection(
+                            Http1Config.DEFAULT, null, HeadCharset.encoder());
             connection.bind(socket);
             connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMs));
             return new EndpointConnection(address, socket, connection, readTimeoutMs);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RelayedRequest.java
@@ -2,6 +2,7 @@
 
 import io.sapphirestack.core.quarantine.PromptParts;
 import io.sapphirestack.core.quarantine.RequestFingerprint;
+import io.sapphirestack.core.relay.HeaderText;
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.TrafficRoute;
 import io.sapphirestack.core.routing.EndpointState;
@@ -58,7 +59,8 @@
         long remainingMs = Math.max(1, remainingMs(clock));
         fields.add(new HeaderField(headers.deadlineMs(), Long.toString(remainingMs)));
         fields.add(new HeaderField(headers.expectedEndpoint(), endpoint.id().value()));
-        account.ifPresent(name -> fields.add(new HeaderField(headers.account(), name)));
+        account.ifPresent(
+                name -> fields.add(new HeaderField(headers.account(), HeaderText.valueOf(name))));
         return fields;
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestChecks.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestChecks.java
@@ -1,6 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.relay.CallerLimits;
+import io.sapphirestack.core.relay.HeaderText;
 import java.util.Optional;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -54,6 +55,9 @@
 
     private static Optional<Rejection> checkHeaderSize(HttpRequest request, CallerLimits limits) {
         int bytes = request.getRequestUri().length();
+        if (request.getRequestUri().chars().anyMatch(HeaderText::isControl)) {
+            return Optional.of(new Rejection(400, "the path contains a control character"));
+        }
         for (Header header : request.getHeaders()) {
             String value = header.getValue();
             if (!isToken(header.getName()) || value != null && hasControlCharacter(value)) {
@@ -77,6 +81,6 @@
     }
 
     private static boolean hasControlCharacter(String value) {
-        return value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127);
+        return value.chars().anyMatch(c -> HeaderText.isControl(c) && c != '\t');
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.connection.GuardedInputStream;
+import io.sapphirestack.runtime.connection.HeadCharset;
 import io.sapphirestack.runtime.connection.MessageLimit;
 import io.sapphirestack.runtime.connection.MessageLimitException;
 import io.sapphirestack.runtime.connection.TrackedSocket;
@@ -132,7 +133,8 @@
                             Integer.parseInt(address.substring(colon + 1))),
                     (int) Math.max(1, timeoutMs));
             DefaultBHttpClientConnection connection =
-                    new DefaultBHttpClientConnection(config(environment.limits()));
+                    new DefaultBHttpClientConnection(
+                            config(environment.limits()), null, HeadCharset.encoder());
             connection.bind(socket);
             connection.setSocketTimeout(
                     Timeout.ofMilliseconds(GuardedInputStream.CHECK_INTERVAL_MS));
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -165,6 +165,19 @@
                 route("/stream/", RequestKind.RESUMABLE_STREAM, 1, 4));
     }
 
+    /** Sets the traffic plan of {@link #withTrafficPlan()} with other accounts. */
+    RelayTestBed withAccounts(RelayedAccount... accounts) throws TrafficPlanException {
+        plan.set(
+                Optional.of(
+                        new TrafficPlan(
+                                1,
+                                List.of(route("/read/", RequestKind.IDEMPOTENT, 1, 2)),
+                                List.of(new RelayedService("scribe", true)),
+                                List.of(accounts),
+                                CallerLimits.DEFAULT)));
+        return this;
+    }
+
     /** Sets a traffic plan with other routes. */
     RelayTestBed withRoutes(TrafficRoute... routes) throws TrafficPlanException {
         return withRoutes(new RelayedService("scribe", true), routes);
