A status that HTTP does not have is a failed attempt, not a response

Cause: the HTTP library parses any number as a status. Below 200 it counted as an interim head; above 599 the response could not be written to the caller.

Change: connections to endpoints (EndpointHttpConnections) require three digits from 100 to 599; everything else is a failed attempt whose request may have run: 502, or a retry where that is allowed.

Other endings were correct before and have tests now: parts of responses with a length, chunks or neither, reset or closed, before, while and after a request of 10 bytes or 2 MB is written, on both interfaces. None came as a success, except that without a length a close is the end (RFC 9112, section 6.3).

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
@@ -1,7 +1,7 @@
 package io.sapphirestack.runtime.endpoint;
 
 import io.sapphirestack.core.time.MillisClock;
-import io.sapphirestack.runtime.connection.HeadCharset;
+import io.sapphirestack.runtime.connection.EndpointHttpConnections;
 import io.sapphirestack.runtime.connection.TrackedSocket;
 import java.io.Closeable;
 import java.io.IOException;
@@ -72,8 +72,7 @@
             socket.setTcpNoDelay(true);
             socket.connect(target, Math.toIntExact(connectTimeoutMs));
             DefaultBHttpClientConnection connection =
-                    new DefaultBHttpClientConnection(
-                            Http1Config.DEFAULT, null, HeadCharset.encoder());
+                    EndpointHttpConnections.create(Http1Config.DEFAULT);
             connection.bind(socket);
             connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMs));
             return new EndpointConnection(address, socket, connection, readTimeoutMs);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
@@ -4,8 +4,8 @@
 import io.sapphirestack.core.relay.ResponseLimits;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.runtime.connection.EndpointHttpConnections;
 import io.sapphirestack.runtime.connection.GuardedInputStream;
-import io.sapphirestack.runtime.connection.HeadCharset;
 import io.sapphirestack.runtime.connection.MessageLimit;
 import io.sapphirestack.runtime.connection.MessageLimitException;
 import io.sapphirestack.runtime.connection.TrackedSocket;
@@ -133,8 +133,7 @@
                             Integer.parseInt(address.substring(colon + 1))),
                     (int) Math.max(1, timeoutMs));
             DefaultBHttpClientConnection connection =
-                    new DefaultBHttpClientConnection(
-                            config(environment.limits()), null, HeadCharset.encoder());
+                    EndpointHttpConnections.create(config(environment.limits()));
             connection.bind(socket);
             connection.setSocketTimeout(
                     Timeout.ofMilliseconds(GuardedInputStream.CHECK_INTERVAL_MS));
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -34,6 +35,8 @@
     private final HttpPlainConnector connector = new HttpPlainConnector();
     private ServerSocket server;
     private volatile Script script;
+    private volatile boolean readsBodies = true;
+    private volatile boolean resetsNext;
 
     /** Responds to one request; an exception closes the connection. */
     @FunctionalInterface
@@ -56,15 +59,28 @@
 
     private void accept() {
         while (!server.isClosed()) {
-            try (Socket socket = server.accept()) {
-                serve(socket);
-            } catch (Exception e) {
-                // Scripts throw to close the connection.
-                continue;
+            try {
+                Socket socket = server.accept();
+                serveAndClose(socket);
+            } catch (IOException e) {
+                return;
             }
         }
     }
 
+    private void serveAndClose(Socket socket) throws IOException {
+        try {
+            serve(socket);
+        } catch (Exception e) {
+            // Scripts throw to close the connection.
+            if (resetsNext) {
+                socket.setSoLinger(true, 0);
+            }
+        } finally {
+            socket.close();
+        }
+    }
+
     private void serve(Socket socket) throws Exception {
         BufferedReader in =
                 new BufferedReader(
@@ -72,11 +88,19 @@
                                 socket.getInputStream(), StandardCharsets.ISO_8859_1));
         String id = "";
         int number = 0;
+        long bodyBytes = 0;
         for (String line = in.readLine(); line != null; line = in.readLine()) {
             if (line.startsWith("Sapphire-Request-Id: ")) {
                 id = line.substring(line.indexOf(' ') + 1);
             }
+            if (line.startsWith("Content-Length: ")) {
+                bodyBytes = Long.parseLong(line.substring(line.indexOf(' ') + 1));
+            }
             if (line.isEmpty()) {
+                if (readsBodies) {
+                    in.skip(bodyBytes);
+                }
+                bodyBytes = 0;
                 script.respond(id, number++, socket.getOutputStream());
             }
         }
@@ -179,6 +203,63 @@
         }
     }
 
+    /** The caller took a part of a response for the whole (report of other operators, MIXED). */
+    @ParameterizedTest
+    @CsvSource({
+        "'', 0, false",
+        "'', 0, true",
+        "'', 2000000, false",
+        "'', 2000000, true",
+        "'Content-Length: 50\r\n', 2000000, true",
+        "'Transfer-Encoding: chunked\r\n', 2000000, true"
+    })
+    void partOfAResponseIsAFailureIfItsConnectionIsReset(
+            String framing, int uploadBytes, boolean early) throws Exception {
+        readsBodies = !early;
+        script =
+                (id, number, out) -> {
+                    write(out, "HTTP/1.1 200 OK\r\n" + framing + "\r\n2\r\nwh");
+                    Thread.currentThread().join(20);
+                    resetsNext = true;
+                    throw new IOException("connection reset");
+                };
+        try (PlainConnection connection = open()) {
+            assertThatThrownBy(
+                            () ->
+                                    connection.send(
+                                            "POST", "/orders/k", Map.of(), new byte[uploadBytes]))
+                    .isInstanceOfSatisfying(
+                            EndpointException.class, e -> assertThat(e.maybeSent()).isTrue());
+        }
+    }
+
+    @Test
+    void responseWithoutALengthThatEndsWithItsConnectionIsWhole() throws Exception {
+        script =
+                (id, number, out) -> {
+                    write(out, "HTTP/1.1 200 OK\r\n\r\nwhole");
+                    throw new IOException("connection closed");
+                };
+        try (PlainConnection connection = open()) {
+            assertThat(read(connection).body()).asString().isEqualTo("whole");
+        }
+    }
+
+    /** A status that callers cannot read is no response (report of other operators, MIXED). */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "000", "099", "20", "0200", "600", "999", "1000", "-200", "2x0", "200OK", "101", ""
+            })
+    void statusThatIsNoneIsAFailure(String status) throws Exception {
+        script = (id, number, out) -> write(out, RESPONSE.replace("200", status));
+        try (PlainConnection connection = open()) {
+            assertThatThrownBy(() -> read(connection))
+                    .isInstanceOfSatisfying(
+                            EndpointException.class, e -> assertThat(e.maybeSent()).isTrue());
+        }
+    }
+
     private static String identified(String id) {
         return RESPONSE.replace("\r\n\r\n", "\r\nSapphire-Request-Id: " + id + "\r\n\r\n");
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/ScriptedEndpoint.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/ScriptedEndpoint.java
@@ -27,6 +27,7 @@
     private final Thread acceptThread;
     private final String id;
     private String version = "";
+    private volatile boolean readsBodies = true;
     private final String availabilityZone;
     private final Script script;
     private final List<Socket> accepted = new CopyOnWriteArrayList<>();
@@ -82,6 +83,12 @@
         return this;
     }
 
+    /** Makes the script run before the body of a request is read; its text is then empty. */
+    ScriptedEndpoint respondingBeforeTheBody() {
+        readsBodies = false;
+        return this;
+    }
+
     EndpointState state() {
         return new EndpointState(
                 EndpointId.of(id),
@@ -133,12 +140,15 @@
         }
     }
 
-    private static Received read(String line, BufferedReader in) throws IOException {
+    private Received read(String line, BufferedReader in) throws IOException {
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         for (String field = in.readLine(); !field.isEmpty(); field = in.readLine()) {
             int colon = field.indexOf(':');
             headers.put(field.substring(0, colon), field.substring(colon + 1).trim());
         }
+        if (!readsBodies) {
+            return new Received(line, headers, "");
+        }
         char[] body = new char[Integer.parseInt(headers.getOrDefault("Content-Length", "0"))];
         for (int read = 0; read < body.length; ) {
             read += in.read(body, read, body.length - read);
