Engines and plain services that send without end cannot take an instance down

The relay has limits on everything; the project's own interface had none on an event of an engine, and none on what all responses of plain services hold together.

Cause: EngineStream read lines of any length and events of any number of fields; a response body was limited one by one (4 MiB, for 512 requests at once on a heap of 96 MB); the read timeout applied to each read only, so single bytes held a thread for good.

Change: an event has at most 256 KiB and must arrive within the read timeout; responses of plain services take their memory from the message budget and end after 10 s; the answer to an order of an engine ends after its timeout; a read whose response finds no memory gets 503, while the response to an order that ran is delivered. BoundedBuffer moves to the package of connections.

HttpPlainConnectorTests and readWhoseResponseFindsNoMemoryIsRefused cover the memory.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -168,8 +168,8 @@
                         blackboard,
                         control,
                         catalog,
-                        routing,
-                        dispatchGuard,
+                        OrderAndReadServices.PlainEndpoints.of(
+                                routing, dispatchGuard, messageMemory),
                         crashes,
                         scheduler,
                         clock);
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/OrderAndReadServices.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/OrderAndReadServices.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.daemon;
 
+import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.core.limit.LocalRetryBudget;
 import io.sapphirestack.core.routing.DispatchGuard;
 import io.sapphirestack.core.routing.RoutingStrategy;
@@ -13,6 +14,7 @@
 import io.sapphirestack.runtime.order.HttpPlainConnector;
 import io.sapphirestack.runtime.order.OrderRuntime;
 import io.sapphirestack.runtime.order.OrderService;
+import io.sapphirestack.runtime.order.PlainConnector;
 import io.sapphirestack.runtime.order.ReadRetryBudget;
 import io.sapphirestack.runtime.order.ReadService;
 import io.sapphirestack.runtime.order.WaitStrategy;
@@ -27,6 +29,30 @@
 
     private final ThreadPoolExecutor orderThreads;
     private final ThreadPoolExecutor readThreads;
+
+    /** Longest time for the body of a response of an endpoint, in milliseconds. */
+    private static final long RESPONSE_BODY_TIMEOUT_MS = 10_000;
+
+    /**
+     * How requests reach the endpoints of plain services.
+     *
+     * @param routing chooses the endpoints
+     * @param guard decides whether a request may be sent
+     * @param connector opens connections
+     */
+    record PlainEndpoints(RoutingStrategy routing, DispatchGuard guard, PlainConnector connector) {
+
+        /**
+         * Creates them with a connector whose responses take their memory from a budget.
+         *
+         * @param memory memory for the responses that are being received
+         */
+        static PlainEndpoints of(RoutingStrategy routing, DispatchGuard guard, ByteBudget memory) {
+            return new PlainEndpoints(
+                    routing, guard, new HttpPlainConnector(memory, RESPONSE_BODY_TIMEOUT_MS));
+        }
+    }
+
     private final OrderService orders;
     private final ReadService reads;
 
@@ -35,23 +61,21 @@
             Blackboard blackboard,
             ControlClient control,
             RecordCatalog catalog,
-            RoutingStrategy routing,
-            DispatchGuard guard,
+            PlainEndpoints endpoints,
             RequestCrashMonitor crashes,
             ScheduledExecutorService scheduler,
             MillisClock clock) {
         this.orderThreads = WorkerPools.createRejecting("order", limits.orders());
         this.readThreads = WorkerPools.createRejecting("read", limits.reads());
-        HttpPlainConnector connector = new HttpPlainConnector();
         WaitStrategy waitStrategy = WaitStrategy.blocking(clock);
         this.orders =
                 new DefaultOrderService(
                         blackboard,
                         control,
                         catalog::service,
-                        routing,
-                        guard,
-                        connector,
+                        endpoints.routing(),
+                        endpoints.guard(),
+                        endpoints.connector(),
                         new OrderRuntime(
                                 orderThreads,
                                 (task, delayMs) ->
@@ -63,9 +87,9 @@
         this.reads =
                 new DefaultReadService(
                         catalog::service,
-                        routing,
-                        guard,
-                        connector,
+                        endpoints.routing(),
+                        endpoints.guard(),
+                        endpoints.connector(),
                         createRetryBudget(),
                         crashes,
                         readThreads,
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/BoundedBuffer.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/BoundedBuffer.java
@@ -1,8 +1,6 @@
-package io.sapphirestack.runtime.http;
+package io.sapphirestack.runtime.connection;
 
 import io.sapphirestack.core.limit.ByteBudget;
-import io.sapphirestack.runtime.connection.MessageLimit;
-import io.sapphirestack.runtime.connection.MessageLimitException;
 import java.util.Arrays;
 import java.util.Objects;
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/HttpEngineOrderClient.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/HttpEngineOrderClient.java
@@ -90,6 +90,8 @@
                 return SendOutcome.NOT_SENT;
             }
             try (ClassicHttpResponse response = connection.exchange(request)) {
+                // Also bounds the close of the response, which reads what is left of the body.
+                connection.limitBodyTime(ORDER_TIMEOUT_MS);
                 String text = readBody(response, address);
                 if (response.getCode() == 202) {
                     return SendOutcome.ACCEPTED;
@@ -112,6 +114,7 @@
         try (EndpointConnection connection =
                         EndpointConnection.open(address, ORDER_TIMEOUT_MS, ORDER_TIMEOUT_MS);
                 ClassicHttpResponse response = connection.exchange(request("GET", "/v1/state"))) {
+            connection.limitBodyTime(ORDER_TIMEOUT_MS);
             String text = readBody(response, address);
             if (response.getCode() != 200) {
                 throw new EndpointException(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/EngineClient.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/EngineClient.java
@@ -150,7 +150,7 @@
                 throw new EngineRefusedException(step, address, response.getCode());
             }
             streaming = true;
-            return new EngineStream(connection, entity.getContent());
+            return new EngineStream(connection, entity.getContent(), readTimeoutMs);
         } catch (IOException e) {
             throw new EndpointException(
                     step, address, "cannot read the response body", true, false, e);
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/EngineStream.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/generation/EngineStream.java
@@ -6,6 +6,7 @@
 import io.sapphirestack.runtime.endpoint.EndpointException;
 import java.io.BufferedReader;
 import java.io.Closeable;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
@@ -33,12 +34,50 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final KeepAlive KEEP_ALIVE = new KeepAlive();
 
+    /** Maximum size of one event, and of what the reader reads ahead of it, in bytes. */
+    private static final int MAX_EVENT_BYTES = 262_144;
+
     private final EndpointConnection connection;
+    private final CountingInputStream input;
     private final BufferedReader reader;
+    private final long eventTimeoutMs;
 
-    EngineStream(EndpointConnection connection, InputStream body) {
+    /**
+     * Creates a reader.
+     *
+     * @param connection connection that carries the stream
+     * @param body content of the response
+     * @param eventTimeoutMs longest time for one event, in milliseconds
+     */
+    EngineStream(EndpointConnection connection, InputStream body, long eventTimeoutMs) {
         this.connection = connection;
-        this.reader = new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8));
+        this.input = new CountingInputStream(body);
+        this.reader = new BufferedReader(new InputStreamReader(input, StandardCharsets.UTF_8));
+        this.eventTimeoutMs = eventTimeoutMs;
+    }
+
+    /** Fails after {@link #MAX_EVENT_BYTES} without an event. */
+    private static final class CountingInputStream extends FilterInputStream {
+
+        private long eventBytes;
+
+        CountingInputStream(InputStream in) {
+            super(in);
+        }
+
+        void beginEvent() {
+            eventBytes = 0;
+        }
+
+        @Override
+        public int read(byte[] buffer, int offset, int length) throws IOException {
+            int count = super.read(buffer, offset, length);
+            eventBytes += Math.max(0, count);
+            if (eventBytes > MAX_EVENT_BYTES) {
+                throw new IOException("an event has more than " + MAX_EVENT_BYTES + " bytes");
+            }
+            return count;
+        }
     }
 
     /**
@@ -46,10 +85,13 @@
      *
      * @return the event
      * @throws EndpointException if the read timed out, the connection failed, or an event was
-     *     malformed
+     *     malformed or too large
      */
     Event next() throws EndpointException {
         try {
+            input.beginEvent();
+            // Single bytes that keep arriving must not hold the thread.
+            connection.limitBodyTime(eventTimeoutMs);
             return readEvent();
         } catch (SocketTimeoutException e) {
             throw new EndpointException(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/ApiRequest.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/ApiRequest.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.sapphirestack.core.error.Refusal;
 import io.sapphirestack.core.error.RefusedException;
+import io.sapphirestack.core.limit.ByteBudget;
 import java.io.IOException;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +24,7 @@
     private final String rawQuery;
     private final long receivedAtMs;
     private final BodyReader bodyReader;
+    private final ByteBudget.Lease memory;
 
     /** Reads the request body. A body above the size limit is refused. */
     interface BodyReader {
@@ -35,13 +37,25 @@
             Map<String, String> queryParameters,
             String rawQuery,
             long receivedAtMs,
-            BodyReader bodyReader) {
+            BodyReader bodyReader,
+            ByteBudget.Lease memory) {
         this.request = request;
         this.pathParameters = pathParameters;
         this.queryParameters = queryParameters;
         this.rawQuery = rawQuery;
         this.receivedAtMs = receivedAtMs;
         this.bodyReader = bodyReader;
+        this.memory = memory;
+    }
+
+    /**
+     * Takes memory for the response, which returns to the budget when the response has been sent.
+     *
+     * @param bytes size of the response, in bytes
+     * @return whether it was available
+     */
+    boolean reserveMemory(int bytes) {
+        return memory.tryReserve(bytes);
     }
 
     String pathParameter(String name) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/RequestDispatcher.java
@@ -4,6 +4,7 @@
 import io.sapphirestack.core.error.Refusal;
 import io.sapphirestack.core.error.RefusedException;
 import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.runtime.connection.BoundedBuffer;
 import io.sapphirestack.runtime.connection.MessageLimit;
 import io.sapphirestack.runtime.connection.MessageLimitException;
 import io.sapphirestack.runtime.metrics.EventLog;
@@ -118,7 +119,8 @@
                             parseQuery(rawQuery),
                             rawQuery,
                             startedAtMs,
-                            bodyReader(request, memory));
+                            bodyReader(request, memory),
+                            memory);
             return match.get().route().handler().handle(apiRequest);
         } catch (RefusedException e) {
             Refusal refusal = e.refusal();
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/ServiceHandlers.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/http/ServiceHandlers.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sapphirestack.core.control.ControlResult;
 import io.sapphirestack.core.error.ExecutionState;
+import io.sapphirestack.core.error.Refusal;
 import io.sapphirestack.core.error.RefusedException;
 import io.sapphirestack.core.id.OrderKey;
 import io.sapphirestack.core.record.RecordKey;
@@ -16,6 +17,9 @@
 /** Handlers of orders and reads of plain services. Thread-safe. */
 final class ServiceHandlers {
 
+    /** Time after which a read that found no memory should be sent again, in milliseconds. */
+    private static final long MEMORY_RETRY_AFTER_MS = 1_000;
+
     private static final long DEFAULT_ORDER_TIMEOUT_MS = 10_000;
 
     private final FrontendServices services;
@@ -146,6 +150,9 @@
                                     service,
                                     request.pathParameter("path") + query,
                                     deadlineMs);
+            if (!request.reserveMemory(serviceResponse.body().length)) {
+                throw new RefusedException(noMemory());
+            }
             long latencyMs = services.clock().nowMs() - request.receivedAtMs();
             objectiveEvents.recordReadCompleted(
                     service, latencyMs, spec.objectives().readLatencyMs());
@@ -161,6 +168,17 @@
         }
     }
 
+    private static Refusal noMemory() {
+        return new Refusal(
+                503,
+                "memory_exhausted",
+                "This instance has no memory for the response.",
+                "send",
+                "local",
+                ExecutionState.YES,
+                MEMORY_RETRY_AFTER_MS);
+    }
+
     private ServiceSpec requireService(ApiRequest request) throws RefusedException {
         try {
             RecordKey key = new RecordKey("service", request.pathParameter("service"));
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/HttpPlainConnector.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/order/HttpPlainConnector.java
@@ -1,10 +1,15 @@
 package io.sapphirestack.runtime.order;
 
+import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.runtime.connection.BoundedBuffer;
+import io.sapphirestack.runtime.connection.MessageLimit;
 import io.sapphirestack.runtime.endpoint.EndpointConnection;
 import io.sapphirestack.runtime.endpoint.EndpointException;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
@@ -20,6 +25,22 @@
     // Responses to orders are stored in the control log, whose frames are limited to 8 MiB.
     private static final int MAX_RESPONSE_BODY_BYTES = 4 * 1024 * 1024;
 
+    private static final int READ_CHUNK_BYTES = 4_096;
+
+    private final ByteBudget memory;
+    private final long bodyTimeoutMs;
+
+    /**
+     * Creates a connector.
+     *
+     * @param memory memory for the bodies of the responses that are being received
+     * @param bodyTimeoutMs longest time for the body of a response, in milliseconds, positive
+     */
+    public HttpPlainConnector(ByteBudget memory, long bodyTimeoutMs) {
+        this.memory = Objects.requireNonNull(memory, "memory");
+        this.bodyTimeoutMs = bodyTimeoutMs;
+    }
+
     @Override
     public PlainConnection open(String address, long connectTimeoutMs, long readTimeoutMs)
             throws EndpointException {
@@ -32,7 +53,7 @@
      * service repeats in its response. Without it, a late copy of an earlier response could not be
      * told from the response to the current request, so the connection is not used again.
      */
-    private static final class HttpPlainConnection implements PlainConnection {
+    private final class HttpPlainConnection implements PlainConnection {
 
         private final EndpointConnection connection;
         private boolean isReused;
@@ -59,6 +80,7 @@
             requireOwnResponse(id, responseId);
             isReused = true;
             try {
+                connection.limitBodyTime(bodyTimeoutMs);
                 byte[] responseBody = readBody(response.getEntity());
                 return new PlainResponse(
                         response.getCode(),
@@ -108,16 +130,20 @@
             }
         }
 
-        private static byte[] readBody(HttpEntity entity) throws IOException {
+        private byte[] readBody(HttpEntity entity) throws IOException {
             if (entity == null) {
                 return new byte[0];
             }
-            byte[] body = entity.getContent().readNBytes(MAX_RESPONSE_BODY_BYTES + 1);
-            if (body.length > MAX_RESPONSE_BODY_BYTES) {
-                throw new IOException(
-                        "response body is longer than " + MAX_RESPONSE_BODY_BYTES + " bytes");
+            InputStream in = entity.getContent();
+            byte[] chunk = new byte[READ_CHUNK_BYTES];
+            try (ByteBudget.Lease lease = memory.newLease()) {
+                BoundedBuffer body =
+                        new BoundedBuffer(lease, MessageLimit.BODY, MAX_RESPONSE_BODY_BYTES);
+                for (int read = in.read(chunk); read >= 0; read = in.read(chunk)) {
+                    body.append(chunk, 0, read);
+                }
+                return body.detach();
             }
-            return body;
         }
 
         private static String headerValue(Header header) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/EventParser.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/EventParser.java
@@ -1,9 +1,9 @@
 package io.sapphirestack.runtime.relay;
 
 import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.runtime.connection.BoundedBuffer;
 import io.sapphirestack.runtime.connection.MessageLimit;
 import io.sapphirestack.runtime.connection.MessageLimitException;
-import io.sapphirestack.runtime.http.BoundedBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/AdmissionHttpTests.java
@@ -167,6 +167,21 @@
         assertThat(response.body()).isEqualTo("content");
     }
 
+    /** Responses of endpoints must not take more memory than there is, however many are sent. */
+    @Test
+    void readWhoseResponseFindsNoMemoryIsRefused() throws Exception {
+        server.responseBytes = (int) HttpTestServer.MEMORY_BYTES;
+        HttpResponse<String> refused = server.get("/v1/services/ledger/read/x", ACME_KEY);
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(json(refused).path("code").asText()).isEqualTo("memory_exhausted");
+
+        server.responseBytes = (int) HttpTestServer.MEMORY_BYTES / 2;
+        for (int i = 0; i < 3; i++) {
+            HttpResponse<String> served = server.get("/v1/services/ledger/read/x", ACME_KEY);
+            assertThat(served.body()).hasSize(server.responseBytes);
+        }
+    }
+
     @Test
     void orderAndItsOutcomeAreMappedToResponses() throws Exception {
         HttpResponse<String> response = order();
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/HttpTestServer.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/http/HttpTestServer.java
@@ -65,12 +65,15 @@
     volatile FleetStatus fleet = new FleetStatus("127.0.0.1:1", 10, List.of());
     volatile RuntimeException readFailure;
 
+    /** Size of the responses to reads, 0 for the path of the read. */
+    volatile int responseBytes;
+
     /** Content type of the responses of endpoints. */
     volatile String contentType = "text/plain";
 
     volatile ControlResult outcome = new ControlResult.OrderNotFound();
     final HttpFrontend frontend;
-    private static final long MEMORY_BYTES = 16L * 1_024 * 1_024;
+    static final long MEMORY_BYTES = 16L * 1_024 * 1_024;
     private final HttpClient client = HttpClient.newHttpClient();
 
     HttpTestServer() throws ServiceException {
@@ -101,7 +104,8 @@
                     if (readFailure != null) {
                         throw readFailure;
                     }
-                    return new ServiceResponse(200, contentType, path.getBytes(), "l1");
+                    byte[] body = responseBytes == 0 ? path.getBytes() : new byte[responseBytes];
+                    return new ServiceResponse(200, contentType, body, "l1");
                 };
         AnnouncementReceiver receiver = (announcement, key) -> {};
         MillisClock monotonic = MillisClock.monotonic();
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.sapphirestack.core.limit.ByteBudget;
 import io.sapphirestack.runtime.endpoint.EndpointException;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -25,14 +26,18 @@
  * Guards against responses of plain services that are taken for complete although they broke off,
  * that never end, or that belong to an earlier request.
  */
-@Timeout(30)
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class HttpPlainConnectorTests {
 
     private static final String RESPONSE =
             "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nwhole";
     private static final long TIMEOUT_MS = 500;
 
-    private final HttpPlainConnector connector = new HttpPlainConnector();
+    private static final long MEMORY_BYTES = 16L * 1_024 * 1_024;
+    private static final long BODY_TIMEOUT_MS = 1_000;
+
+    private final ByteBudget memory = new ByteBudget(MEMORY_BYTES);
+    private final HttpPlainConnector connector = new HttpPlainConnector(memory, BODY_TIMEOUT_MS);
     private ServerSocket server;
     private volatile Script script;
     private volatile boolean readsBodies = true;
@@ -260,6 +265,47 @@
         }
     }
 
+    /** Bodies without end, quick or slow, of several endpoints at once. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 20})
+    void bodyWithoutEndFailsAndReturnsItsMemory(int intervalMs) throws Exception {
+        script =
+                (id, number, out) -> {
+                    write(out, "HTTP/1.1 200 OK\r\n\r\n");
+                    while (true) {
+                        write(out, intervalMs == 0 ? "x".repeat(8_000) : "x");
+                        if (intervalMs > 0) {
+                            Thread.currentThread().join(intervalMs);
+                        }
+                    }
+                };
+        for (int i = 0; i < 3; i++) {
+            try (PlainConnection connection = open()) {
+                assertThatThrownBy(() -> read(connection)).isInstanceOf(EndpointException.class);
+            }
+            assertThat(memory.reservedBytes()).isZero();
+        }
+    }
+
+    /** One machine must not keep all that sick endpoints send (report of other operators). */
+    @Test
+    void bodyForWhichThereIsNoMemoryFails() throws Exception {
+        script =
+                (id, number, out) ->
+                        write(
+                                out,
+                                "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"
+                                        + "x".repeat(100_000));
+        try (ByteBudget.Lease others = memory.newLease();
+                PlainConnection connection = open()) {
+            assertThat(others.tryReserve(MEMORY_BYTES - 50_000)).isTrue();
+            assertThatThrownBy(() -> read(connection)).isInstanceOf(EndpointException.class);
+        }
+        try (PlainConnection connection = open()) {
+            assertThat(read(connection).body()).hasSize(100_000);
+        }
+    }
+
     private static String identified(String id) {
         return RESPONSE.replace("\r\n\r\n", "\r\nSapphire-Request-Id: " + id + "\r\n\r\n");
     }
