--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/HeaderText.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/HeaderText.java
@@ -16,6 +16,7 @@
     /** Begins the encoded form of a text that no field value can carry (RFC 8187, section 3.2). */
     private static final String ENCODED_PREFIX = "UTF-8''";
 
+    private static final char MIN_BEYOND_ASCII = 0x80;
     private static final String HEX_DIGITS = "0123456789ABCDEF";
 
     /** Characters that the encoded form keeps, beside letters and digits. */
@@ -41,9 +42,19 @@
      */
     public static Optional<String> octetsOf(String text) {
         boolean isTrimmed = text.startsWith(" ") || text.endsWith(" ");
-        if (isTrimmed || text.chars().anyMatch(HeaderText::isControl)) {
+        boolean isAscii = true;
+        for (int i = 0; i < text.length(); i++) {
+            if (isControl(text.charAt(i))) {
+                return Optional.empty();
+            }
+            isAscii &= text.charAt(i) < MIN_BEYOND_ASCII;
+        }
+        if (isTrimmed) {
             return Optional.empty();
         }
+        if (isAscii) {
+            return Optional.of(text);
+        }
         return Optional.of(
                 new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1));
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/HeadCharset.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/connection/HeadCharset.java
@@ -56,19 +56,18 @@
 
         @Override
         protected CoderResult encodeLoop(CharBuffer in, ByteBuffer out) {
-            while (in.hasRemaining()) {
-                if (!out.hasRemaining()) {
-                    return CoderResult.OVERFLOW;
-                }
-                char character = in.get(in.position());
+            int end = in.position() + Math.min(in.remaining(), out.remaining());
+            for (int position = in.position(); position < end; position++) {
+                char character = in.get(position);
                 if (character > MAX_OCTET) {
+                    in.position(position);
                     return CoderResult.unmappableForLength(1);
                 }
                 boolean isReplaced = HeaderText.isControl(character) && character != '\t';
                 out.put((byte) (isReplaced ? ' ' : character));
-                in.get();
             }
-            return CoderResult.UNDERFLOW;
+            in.position(end);
+            return in.hasRemaining() ? CoderResult.OVERFLOW : CoderResult.UNDERFLOW;
         }
 
         @Override
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterDiscovery.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/VoterDiscovery.java
@@ -104,7 +104,7 @@
         scheduler.scheduleWithFixedDelay(this::tick, 0, SEARCH_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Exchanges the known voters with one instance if that is due. */
+    /** Exchanges the known voters with one instance if that is due; called by one thread. */
     void tick() {
         long nowMs = clock.nowMs();
         if (nowMs < nextExchangeMs) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/DisseminationService.java
@@ -207,28 +207,26 @@
      */
     CompletableFuture<Boolean> passOn(EndpointId id) {
         CompletableFuture<Boolean> received = new CompletableFuture<>();
-        List<CompletableFuture<Boolean>> sends;
+        List<DisseminationNeighbour> targets;
+        DisseminationBatch batch;
         synchronized (lock) {
             if (!isInTree() || neighbours.isEmpty()) {
                 return CompletableFuture.completedFuture(isInTree());
             }
-            DisseminationBatch batch =
+            batch =
                     DisseminationBatch.ofReports(
                             ownId, tree.fingerprint(), registry.encode(registry.fullReport(id)));
-            sends = neighbours.values().stream().map(n -> send(n, batch)).toList();
+            targets = List.copyOf(neighbours.values());
         }
-        sends.forEach(sent -> sent.thenAccept(ok -> completeIf(received, ok)));
+        List<CompletableFuture<Boolean>> sends =
+                targets.stream()
+                        .map(n -> send(n, batch).thenApply(ok -> ok && received.complete(true)))
+                        .toList();
         CompletableFuture.allOf(sends.toArray(CompletableFuture[]::new))
                 .thenRun(() -> received.complete(false));
         return received;
     }
 
-    private static void completeIf(CompletableFuture<Boolean> future, boolean value) {
-        if (value) {
-            future.complete(true);
-        }
-    }
-
     @Override
     public void close() {
         crashBatches.close();
