Routes whose path prefix is not ASCII match the octets of a path

Cause: the prefix is text, the path of a request is a sequence of octets.

Change: such prefixes are compared by their octets, also if the path percent-encodes them; a prefix that is no valid Unicode is rejected. Plans with ASCII prefixes take the path they took before.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/HeaderText.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/HeaderText.java
@@ -80,6 +80,37 @@
         return character < ' ' || character == 0x7F;
     }
 
+    /**
+     * Decodes the percent-encoded octets beyond ASCII of a path (RFC 3987, section 3.1), and no
+     * others: an encoded slash, for example, is not a slash.
+     *
+     * @param path path, with one character for each octet
+     * @return path in which these octets stand for themselves
+     */
+    static String decodeHighOctets(String path) {
+        StringBuilder decoded = new StringBuilder(path.length());
+        for (int i = 0; i < path.length(); i++) {
+            int octet = path.charAt(i) == '%' ? hexOctetAt(path, i + 1) : -1;
+            if (octet >= MIN_BEYOND_ASCII) {
+                decoded.append((char) octet);
+                i += 2;
+            } else {
+                decoded.append(path.charAt(i));
+            }
+        }
+        return decoded.toString();
+    }
+
+    /** Returns the octet of two hexadecimal digits, negative if there are none. */
+    private static int hexOctetAt(String text, int position) {
+        if (position + 2 > text.length()) {
+            return -1;
+        }
+        int high = Character.digit(text.charAt(position), 16);
+        int low = Character.digit(text.charAt(position + 1), 16);
+        return high < 0 || low < 0 ? -1 : high << 4 | low;
+    }
+
     private static String percentEncode(String text) {
         StringBuilder encoded = new StringBuilder();
         for (byte octet : text.getBytes(StandardCharsets.UTF_8)) {
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
@@ -19,6 +19,7 @@
     private final CallerLimits limits;
     private final Map<String, RelayedService> services;
     private final Map<String, List<TrafficRoute>> routesByHost;
+    private final Map<String, String> prefixOctets;
     private final Map<String, List<TrafficRoute>> routesByService;
     private final Map<String, RelayedAccount> accountsByKey;
     private final boolean hasAccounts;
@@ -46,6 +47,7 @@
         this.limits = limits;
         this.services = indexServices(services);
         this.routesByHost = indexRoutes(routes);
+        this.prefixOctets = indexPrefixOctets(routes);
         this.routesByService = indexByService(routes);
         this.accountsByKey = indexAccounts(accounts);
         this.hasAccounts = !accounts.isEmpty();
@@ -75,13 +77,37 @@
      * Selects the route with the longest matching path prefix.
      *
      * @param host host of the request, in any case, with or without a port
-     * @param path path of the request, with or without a query
+     * @param path path of the request as its octets, with or without a query; octets beyond ASCII
+     *     may be percent-encoded, see {@link HeaderText}
      * @return the route, or empty if none matches
      */
     public Optional<TrafficRoute> route(String host, String path) {
-        return routesByHost.getOrDefault(normalize(host), List.of()).stream()
-                .filter(route -> path.startsWith(route.pathPrefix()))
-                .findFirst();
+        List<TrafficRoute> routes = routesByHost.getOrDefault(normalize(host), List.of());
+        if (prefixOctets.isEmpty()) {
+            return routes.stream().filter(r -> path.startsWith(r.pathPrefix())).findFirst();
+        }
+        String octets = HeaderText.decodeHighOctets(path);
+        return routes.stream().filter(r -> octets.startsWith(octetsOf(r.pathPrefix()))).findFirst();
+    }
+
+    private String octetsOf(String prefix) {
+        return prefixOctets.getOrDefault(prefix, prefix);
+    }
+
+    /** Returns the octets of the path prefixes that are not ASCII, by prefix. */
+    private static Map<String, String> indexPrefixOctets(List<TrafficRoute> routes)
+            throws TrafficPlanException {
+        Map<String, String> index = new HashMap<>();
+        for (TrafficRoute route : routes) {
+            String prefix = route.pathPrefix();
+            check(
+                    HeaderText.isEncodable(prefix),
+                    "route " + route.name() + ": the path prefix is not valid Unicode");
+            HeaderText.octetsOf(prefix)
+                    .filter(octets -> !octets.equals(prefix))
+                    .ifPresent(octets -> index.put(prefix, octets));
+        }
+        return Map.copyOf(index);
     }
 
     /**
--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/TrafficPlanTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/TrafficPlanTests.java
@@ -165,4 +165,43 @@
                         new RelayedAccount(secondAccount, List.of("k2"))),
                 CallerLimits.DEFAULT);
     }
+
+    /** A configured prefix may have letters outside of ASCII; callers send its octets. */
+    @ParameterizedTest
+    @CsvSource({
+        "/k\u00c9\u009bse/1, true",
+        "/k%C9%9Bse/1, true",
+        "/k%c9%9Bse/1, true",
+        "/k\u00c9\u0094se/1, false",
+        "/k%C9%94se/1, false",
+        "/k\u025bse/1, false",
+        "/k??se/1, false",
+        "/k%C9, false",
+        "/k%zz%9Bse/1, false"
+    })
+    void prefixOutsideOfAsciiIsMatchedByItsOctets(String path, boolean matches)
+            throws TrafficPlanException {
+        TrafficPlan plan =
+                new TrafficPlan(
+                        1,
+                        List.of(route("/k\u025bse/", 10, to("a", 1))),
+                        SERVICES,
+                        List.of(),
+                        CallerLimits.DEFAULT);
+
+        assertThat(plan.route("shop.example", path).isPresent()).isEqualTo(matches);
+    }
+
+    @Test
+    void prefixThatIsNotValidUnicodeIsRejected() {
+        assertThatThrownBy(
+                        () ->
+                                new TrafficPlan(
+                                        1,
+                                        List.of(route("/\ud800/", 10, to("a", 1))),
+                                        SERVICES,
+                                        List.of(),
+                                        CallerLimits.DEFAULT))
+                .isInstanceOf(TrafficPlanException.class);
+    }
 }
