Status lines of endpoints are checked against the grammar

Cause: the HTTP library reads responses more loosely than the RFCs. Of a status line only the status was checked, after the library had parsed it, and all else by the library alone. Change: a module sapphire-http, which the runtime and the client library can both use. Evidence: tests over TCP by shape and path. Why it works: a head is none unless its first line is a status line; the failure takes the path of every broken response.

--- /dev/null
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/HttpSyntax.java
@@ -0,0 +1,34 @@
+package io.sapphirestack.http;
+
+import java.util.regex.Pattern;
+
+/**
+ * Grammar of the lines of HTTP/1.1 messages (RFC 9112, sections 4 to 7, and RFC 9110, sections 5
+ * and 8.6). Lines are given as received, without their line end, with one character for each octet.
+ *
+ * <p>The patterns use possessive quantifiers, so that the time and the stack that a line takes do
+ * not depend on its content.
+ */
+public final class HttpSyntax {
+
+    private static final String BLANK = "[ \\t]";
+    private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]";
+
+    private static final Pattern STATUS_LINE =
+            Pattern.compile(
+                    (BLANK + "*+HTTP/1\\.[0-9]" + BLANK + "++[1-5][0-9][0-9]")
+                            + ("(?:" + BLANK + TEXT + "*+)?+"));
+
+    private HttpSyntax() {}
+
+    /**
+     * Returns whether a line is a status line of HTTP/1.x with a status from 100 to 599 (RFC 9112,
+     * section 4; RFC 9110, section 15). Blanks around its parts may be several, as section 4
+     * allows.
+     *
+     * @param line line
+     */
+    static boolean isStatusLine(CharSequence line) {
+        return STATUS_LINE.matcher(line).matches();
+    }
+}
--- /dev/null
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/StrictClientConnection.java
@@ -0,0 +1,51 @@
+package io.sapphirestack.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.CharsetEncoder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultClassicHttpResponseFactory;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.io.HttpMessageParser;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.hc.core5.http.message.BasicLineParser;
+
+/**
+ * HTTP/1.1 client connection that accepts only heads, also interim ones, that follow the grammar of
+ * RFC 9112, with a {@link MalformedHeadException} otherwise. After it, nothing of the response may
+ * be used, and the connection must be closed. Used by one thread, except that any thread may close
+ * it.
+ */
+public final class StrictClientConnection extends DefaultBHttpClientConnection {
+
+    /**
+     * Creates a connection that is not bound to a socket yet.
+     *
+     * @param config limits of lines and of the number of fields
+     * @param encoder encoder of the heads of requests, or {@code null} for US-ASCII
+     */
+    public StrictClientConnection(Http1Config config, CharsetEncoder encoder) {
+        super(config, null, encoder, null, null, null, ignored -> new HeadParser(config));
+    }
+
+    /**
+     * Parser of heads; like that of the library, it returns {@code null} if the connection ended
+     * before the first line. A parser of the library keeps its state after a failure.
+     */
+    private record HeadParser(Http1Config config)
+            implements HttpMessageParser<ClassicHttpResponse> {
+
+        @Override
+        public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream in)
+                throws IOException, HttpException {
+            return new DefaultHttpResponseParser(
+                            config,
+                            BasicLineParser.INSTANCE,
+                            DefaultClassicHttpResponseFactory.INSTANCE)
+                    .parse(new HeadInputBuffer(buffer, config.getMaxLineLength()), in);
+        }
+    }
+}
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.sapphirestack.core.relay.ResponseLimits;
 import io.sapphirestack.core.routing.EndpointState;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.http.MalformedHeadException;
 import io.sapphirestack.runtime.connection.BoundedBuffer;
 import io.sapphirestack.runtime.connection.EndpointHttpConnections;
 import io.sapphirestack.runtime.connection.GuardedInputStream;
@@ -366,6 +367,10 @@
         if (cause instanceof MessageConstraintException) {
             return limitExceeded(MessageLimit.LINE, cause);
         }
+        if (cause instanceof MalformedHeadException) {
+            return createException(
+                    "receive", "the response is no HTTP: " + cause.getMessage(), cause);
+        }
         return createException("receive", message, cause);
     }
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/EngineClientTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/EngineClientTests.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.sapphirestack.core.control.EndpointOrder;
 import io.sapphirestack.core.id.GenerationId;
+import io.sapphirestack.core.record.ModelPin;
+import io.sapphirestack.runtime.connection.ResponseShapes;
 import io.sapphirestack.runtime.endpoint.EndpointException;
 import io.sapphirestack.runtime.endpoint.HttpEngineOrderClient;
 import io.sapphirestack.runtime.error.ServiceException;
@@ -17,6 +20,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +28,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -201,6 +206,59 @@
         assertThatThrownBy(this::attach).isInstanceOf(ServiceException.class);
     }
 
+    /** Nothing of a head that is no HTTP becomes a part of a generation. */
+    @ParameterizedTest
+    @MethodSource("io.sapphirestack.runtime.connection.ResponseShapes#invalidHeads")
+    void malformedHeadIsAFailure(ResponseShapes.Shape shape) {
+        script = (socket, out) -> write(out, shape.octets(""));
+
+        assertThatThrownBy(this::attach).isInstanceOf(EndpointException.class);
+    }
+
+    @ParameterizedTest
+    @MethodSource("io.sapphirestack.runtime.connection.ResponseShapes#soundResponses")
+    void soundStreamOfUnusualLooksIsRead(ResponseShapes.Shape shape) throws Exception {
+        script = (socket, out) -> write(out, shape.octets(""));
+        try (EngineStream stream = attach()) {
+            assertThat(stream.next()).isEqualTo(new EngineStream.Token(0, "t"));
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("io.sapphirestack.runtime.connection.ResponseShapes#invalidHeads")
+    void malformedHeadIsNoResponseToAProbe(ResponseShapes.Shape shape) {
+        script = (socket, out) -> write(out, shape.octets(""));
+
+        assertThat(new EngineClient().probe(address(), TIMEOUT_MS))
+                .isNotEqualTo(EngineClient.ProbeResult.RESPONDED);
+    }
+
+    static Stream<ResponseShapes.Shape> invalidResponses() {
+        return ResponseShapes.invalidHeads();
+    }
+
+    /** An order whose response is no HTTP is neither accepted nor refused. */
+    @ParameterizedTest
+    @MethodSource("invalidResponses")
+    void malformedResponseToAnOrderIsAFailure(ResponseShapes.Shape shape) {
+        script = (socket, out) -> write(out, shape.octets("").replace(" 200", " 202"));
+        EndpointOrder order =
+                new EndpointOrder(EndpointOrder.Action.LOAD, new ModelPin("m", "", "v1"), "", 0);
+
+        assertThatThrownBy(
+                        () ->
+                                orderClient()
+                                        .send(address(), 1, order, () -> true)
+                                        .get(READ_MS, TimeUnit.MILLISECONDS))
+                .isInstanceOf(ExecutionException.class)
+                .hasCauseInstanceOf(EndpointException.class);
+    }
+
+    private HttpEngineOrderClient orderClient() {
+        return new HttpEngineOrderClient(
+                threads, new com.fasterxml.jackson.databind.ObjectMapper(), "");
+    }
+
     /** The few threads for orders to engines must not be held by one of them. */
     @ParameterizedTest
     @ValueSource(ints = {0, 50})
@@ -213,11 +271,11 @@
                         Thread.currentThread().join(Math.max(1, intervalMs));
                     }
                 };
-        HttpEngineOrderClient client =
-                new HttpEngineOrderClient(
-                        threads, new com.fasterxml.jackson.databind.ObjectMapper(), "");
-
-        assertThatThrownBy(() -> client.state(address()).get(2 * READ_MS, TimeUnit.MILLISECONDS))
+        assertThatThrownBy(
+                        () ->
+                                orderClient()
+                                        .state(address())
+                                        .get(2 * READ_MS, TimeUnit.MILLISECONDS))
                 .isInstanceOf(ExecutionException.class)
                 .hasCauseInstanceOf(EndpointException.class);
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
@@ -4,6 +4,8 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.sapphirestack.core.limit.ByteBudget;
+import io.sapphirestack.runtime.connection.ResponseShapes;
+import io.sapphirestack.runtime.connection.ResponseShapes.Shape;
 import io.sapphirestack.runtime.endpoint.EndpointException;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -14,12 +16,14 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -306,6 +310,39 @@
         }
     }
 
+    static Stream<Shape> invalidResponses() {
+        return ResponseShapes.invalidHeads();
+    }
+
+    private void respond(Shape shape) {
+        script =
+                (id, number, out) -> {
+                    write(out, shape.octets("Sapphire-Request-Id: " + id + "\r\n"));
+                    throw new IOException("connection closed");
+                };
+    }
+
+    /** A response that is no HTTP says nothing, also not that the request did not run. */
+    @ParameterizedTest
+    @MethodSource("invalidResponses")
+    void malformedResponseIsAFailureOfARequestThatMayHaveRun(Shape shape) throws Exception {
+        respond(shape);
+        try (PlainConnection connection = open()) {
+            assertThatThrownBy(() -> read(connection))
+                    .isInstanceOfSatisfying(
+                            EndpointException.class, e -> assertThat(e.maybeSent()).isTrue());
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("io.sapphirestack.runtime.connection.ResponseShapes#soundResponses")
+    void soundResponseOfUnusualLooksIsRead(Shape shape) throws Exception {
+        respond(shape);
+        try (PlainConnection connection = open()) {
+            assertThat(read(connection).body()).asString().isEqualTo(ResponseShapes.BODY);
+        }
+    }
+
     private static String identified(String id) {
         return RESPONSE.replace("\r\n\r\n", "\r\nSapphire-Request-Id: " + id + "\r\n\r\n");
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/CopyOrderClientTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/CopyOrderClientTests.java
@@ -3,12 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.sapphirestack.runtime.connection.ResponseShapes;
+import io.sapphirestack.runtime.connection.ResponseShapes.Shape;
 import io.sapphirestack.runtime.endpoint.EndpointException;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Guards against orders whose thread is blocked by an engine that sends its response byte by byte,
@@ -49,4 +53,23 @@
                     .isInstanceOf(EndpointException.class);
         }
     }
+
+    static Stream<Shape> invalidResponses() {
+        return ResponseShapes.invalidHeads();
+    }
+
+    /** A copy whose order has no valid response is not relied on. */
+    @ParameterizedTest
+    @MethodSource("invalidResponses")
+    void malformedResponseIsNoCopy(Shape shape) throws Exception {
+        ScriptedEndpoint.Script script =
+                (request, socket, out) -> {
+                    ScriptedEndpoint.write(out, shape.octets(""));
+                    socket.close();
+                };
+        try (ScriptedEndpoint engine = new ScriptedEndpoint("e1", "z1", script)) {
+            assertThatThrownBy(() -> client.order("r1", engine.state(), engine.state()))
+                    .isInstanceOf(EndpointException.class);
+        }
+    }
 }
