Lines of a head that are no fields make it none

Cause: the library takes all that stands before the first colon for a name. "Content Length" is another field then, the body has no length, and it ends with the connection. Change: each line after the status line must begin with a token and a colon. RequestChecks uses the same rule for names, in place of its own. A blank before the colon, which section 5.1 tells a proxy to remove before it forwards the response, is rejected: nothing of the response is forwarded. Why it works: the line is seen before anything looks for its name, so no name can hide a length.

--- a/sapphire-http/src/main/java/io/sapphirestack/http/HttpSyntax.java
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/HttpSyntax.java
@@ -12,15 +12,27 @@
 public final class HttpSyntax {
 
     private static final String BLANK = "[ \\t]";
+    private static final String TOKEN_CHARACTER = "[!#$%&'*+.^_`|~0-9A-Za-z-]";
     private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]";
 
     private static final Pattern STATUS_LINE =
             Pattern.compile(
                     (BLANK + "*+HTTP/1\\.[0-9]" + BLANK + "++[1-5][0-9][0-9]")
                             + ("(?:" + BLANK + TEXT + "*+)?+"));
+    private static final Pattern TOKEN = Pattern.compile(TOKEN_CHARACTER + "++");
+    private static final Pattern FIELD_START = Pattern.compile(TOKEN_CHARACTER + "++:");
 
     private HttpSyntax() {}
 
+    /**
+     * Returns whether a text is a token, such as the name of a field (RFC 9110, section 5.6.2).
+     *
+     * @param text text
+     */
+    public static boolean isToken(CharSequence text) {
+        return TOKEN.matcher(text).matches();
+    }
+
     /**
      * Returns whether a line is a status line of HTTP/1.x with a status from 100 to 599 (RFC 9112,
      * section 4; RFC 9110, section 15). Blanks around its parts may be several, as section 4
@@ -31,4 +43,16 @@
     static boolean isStatusLine(CharSequence line) {
         return STATUS_LINE.matcher(line).matches();
     }
+
+    /**
+     * Returns whether a line begins as a field line does, with a name and a colon (RFC 9112,
+     * section 5). A line that continues the one before it does not (section 5.2), nor does one with
+     * a blank before the colon (section 5.1). The value is not checked: control characters in it
+     * are replaced by spaces when it is sent on (RFC 9110, section 5.5).
+     *
+     * @param line line
+     */
+    static boolean isFieldLine(CharSequence line) {
+        return FIELD_START.matcher(line).lookingAt();
+    }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestChecks.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestChecks.java
@@ -2,6 +2,7 @@
 
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.HeaderText;
+import io.sapphirestack.http.HttpSyntax;
 import java.util.Optional;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -60,7 +61,8 @@
         }
         for (Header header : request.getHeaders()) {
             String value = header.getValue();
-            if (!isToken(header.getName()) || value != null && hasControlCharacter(value)) {
+            if (!HttpSyntax.isToken(header.getName())
+                    || value != null && hasControlCharacter(value)) {
                 return Optional.of(
                         new Rejection(400, "a header field contains an invalid character"));
             }
@@ -74,12 +76,6 @@
                 : Optional.empty();
     }
 
-    private static boolean isToken(String name) {
-        return !name.isEmpty()
-                && name.chars()
-                        .allMatch(c -> c > ' ' && c < 127 && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
-    }
-
     private static boolean hasControlCharacter(String value) {
         return value.chars().anyMatch(c -> HeaderText.isControl(c) && c != '\t');
     }
