A line joined to the one before it makes a head none

Cause: the library joins such a line to the one before it. The joined line may be the length, and after the status line it is dropped. Change: such a line is no field. Section 5.2 lets a proxy answer with 502, and does not ask for more. Why it works: lines are checked before they are joined, so there is none left to join.

--- a/sapphire-http/src/main/java/io/sapphirestack/http/HeadInputBuffer.java
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/HeadInputBuffer.java
@@ -20,10 +20,7 @@
             if (!HttpSyntax.isStatusLine(line)) {
                 throw new MalformedHeadException("the first line is no status line of HTTP/1.1");
             }
-        } else if (!line.isEmpty()
-                && line.charAt(0) != ' '
-                && line.charAt(0) != '\t'
-                && !HttpSyntax.isFieldLine(line)) {
+        } else if (!line.isEmpty() && !HttpSyntax.isFieldLine(line)) {
             throw new MalformedHeadException("a line of the head is no field");
         }
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/ResponseShapes.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/ResponseShapes.java
@@ -95,7 +95,8 @@
 
     /** Heads that are no HTTP. The body of those that have no other length ends with them. */
     public static Stream<Shape> invalidHeads() {
-        return Stream.of(invalidStatusLines(), invalidFieldLines()).flatMap(shapes -> shapes);
+        return Stream.of(invalidStatusLines(), invalidFieldLines(), joinedLines())
+                .flatMap(shapes -> shapes);
     }
 
     /** Status lines that are none (RFC 9112, section 4). */
