Lengths and transfer codings of responses follow the grammar

Cause: the library reads lengths with Long.parseLong and looks at the last coding only. Requests were checked (RequestChecks); responses only for two lengths, and only by the relay. Its tests stay as they are. A request of HTTP/1.0 with a transfer coding gets 400 now, as section 6.1 wants. Empty list elements are accepted on both sides. Refused are lengths beyond a long, and not those with many leading zeros. Why it works: a head whose length two readers could take differently is no head; an order stays one that may have run.

--- a/sapphire-http/src/main/java/io/sapphirestack/http/HttpSyntax.java
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/HttpSyntax.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.http;
 
+import java.util.OptionalLong;
 import java.util.regex.Pattern;
 
 /**
@@ -21,6 +22,7 @@
                             + ("(?:" + BLANK + TEXT + "*+)?+"));
     private static final Pattern TOKEN = Pattern.compile(TOKEN_CHARACTER + "++");
     private static final Pattern FIELD_START = Pattern.compile(TOKEN_CHARACTER + "++:");
+    private static final Pattern DIGITS = Pattern.compile("[0-9]++");
 
     private HttpSyntax() {}
 
@@ -55,4 +57,23 @@
     static boolean isFieldLine(CharSequence line) {
         return FIELD_START.matcher(line).lookingAt();
     }
+
+    /**
+     * Returns the value of a {@code Content-Length} field (RFC 9110, section 8.6).
+     *
+     * @param value value without the blanks around it
+     * @return length in bytes, 0 or more; empty if the value is not made of digits alone or exceeds
+     *     the largest {@code long}
+     */
+    public static OptionalLong contentLength(String value) {
+        if (!DIGITS.matcher(value).matches()) {
+            return OptionalLong.empty();
+        }
+        try {
+            return OptionalLong.of(Long.parseLong(value));
+        } catch (NumberFormatException e) {
+            // Only a number that is too large has digits alone and fails.
+            return OptionalLong.empty();
+        }
+    }
 }
--- a/sapphire-http/src/main/java/io/sapphirestack/http/StrictClientConnection.java
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/StrictClientConnection.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.CharsetEncoder;
+import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.DefaultClassicHttpResponseFactory;
@@ -41,11 +43,28 @@
         @Override
         public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream in)
                 throws IOException, HttpException {
-            return new DefaultHttpResponseParser(
-                            config,
-                            BasicLineParser.INSTANCE,
-                            DefaultClassicHttpResponseFactory.INSTANCE)
-                    .parse(new HeadInputBuffer(buffer, config.getMaxLineLength()), in);
+            ClassicHttpResponse response =
+                    new DefaultHttpResponseParser(
+                                    config,
+                                    BasicLineParser.INSTANCE,
+                                    DefaultClassicHttpResponseFactory.INSTANCE)
+                            .parse(new HeadInputBuffer(buffer, config.getMaxLineLength()), in);
+            if (response != null) {
+                requireValid(response);
+            }
+            return response;
+        }
+
+        private static void requireValid(ClassicHttpResponse response)
+                throws MalformedHeadException {
+            Optional<MessageFraming.Fault> fault = MessageFraming.faultOf(response);
+            if (fault.isPresent()) {
+                throw new MalformedHeadException(fault.get().description());
+            }
+            if (response.getCode() == HttpStatus.SC_SWITCHING_PROTOCOLS) {
+                // No request asks for it, and what follows is no HTTP (RFC 9110, section 15.2.2).
+                throw new MalformedHeadException("the server switched to another protocol");
+            }
         }
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestChecks.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/RequestChecks.java
@@ -3,6 +3,7 @@
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.HeaderText;
 import io.sapphirestack.http.HttpSyntax;
+import io.sapphirestack.http.MessageFraming;
 import java.util.Optional;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -29,22 +30,11 @@
     record Rejection(int status, String reason) {}
 
     static Optional<Rejection> check(HttpRequest request, CallerLimits limits) {
-        int contentLengths = request.countHeaders(HttpHeaders.CONTENT_LENGTH);
-        int transferEncodings = request.countHeaders(HttpHeaders.TRANSFER_ENCODING);
-        if (contentLengths > 1
-                || transferEncodings > 1
-                || contentLengths > 0 && transferEncodings > 0) {
-            return Optional.of(new Rejection(400, "the length of the body is ambiguous"));
-        }
-        Header encoding = request.getFirstHeader(HttpHeaders.TRANSFER_ENCODING);
-        if (encoding != null && !encoding.getValue().trim().equalsIgnoreCase("chunked")) {
-            return Optional.of(
-                    new Rejection(501, "the only supported transfer encoding is chunked"));
+        Optional<MessageFraming.Fault> fault = MessageFraming.faultOf(request);
+        if (fault.isPresent()) {
+            return fault.map(RequestChecks::rejectionOf);
         }
         Header length = request.getFirstHeader(HttpHeaders.CONTENT_LENGTH);
-        if (length != null && !length.getValue().matches("[0-9]{1,18}")) {
-            return Optional.of(new Rejection(400, "the length of the body is not a number"));
-        }
         if (length != null && Long.parseLong(length.getValue()) > limits.bodyBytes()) {
             return Optional.of(new Rejection(413, "the body is too large"));
         }
@@ -54,6 +44,11 @@
         return checkHeaderSize(request, limits);
     }
 
+    private static Rejection rejectionOf(MessageFraming.Fault fault) {
+        int status = fault == MessageFraming.Fault.UNSUPPORTED_CODING ? 501 : 400;
+        return new Rejection(status, fault.description());
+    }
+
     private static Optional<Rejection> checkHeaderSize(HttpRequest request, CallerLimits limits) {
         int bytes = request.getRequestUri().length();
         if (request.getRequestUri().chars().anyMatch(HeaderText::isControl)) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/ResponseFraming.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/ResponseFraming.java
@@ -1,9 +1,7 @@
 package io.sapphirestack.runtime.relay;
 
 import java.util.Optional;
-import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
-import org.apache.hc.core5.http.ProtocolException;
 
 /** Rules for the length of a response and for the reuse of its connection. */
 final class ResponseFraming {
@@ -13,18 +11,6 @@
 
     private ResponseFraming() {}
 
-    /**
-     * Rejects a response whose end two parsers could find at different places.
-     *
-     * @throws HttpException if the length of the body is ambiguous
-     */
-    static void requireUnambiguousLength(UpstreamResponseHead head) throws HttpException {
-        if (head.header(HttpHeaders.CONTENT_LENGTH).isPresent()
-                && head.header(HttpHeaders.TRANSFER_ENCODING).isPresent()) {
-            throw new ProtocolException("the response has two lengths");
-        }
-    }
-
     /** Returns whether a status never has a body. */
     static boolean isWithoutBody(int status) {
         return status == NO_CONTENT || status == NOT_MODIFIED;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
@@ -30,7 +30,6 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MessageConstraintException;
-import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
@@ -51,7 +50,6 @@
     private static final int READ_CHUNK_BYTES = 4_096;
     private static final int MAX_HEADER_FIELDS = 100;
     private static final int FIRST_FINAL_STATUS = 200;
-    private static final int SWITCHING_PROTOCOLS = 101;
     private static final long NO_SEND = Long.MAX_VALUE;
 
     private final EndpointState endpoint;
@@ -229,13 +227,12 @@
                     .guardHead(guardOf(check), (long) limits.headBytes() + BUFFER_BYTES);
             ClassicHttpResponse response = connection.receiveResponseHeader();
             for (int interim = 1; response.getCode() < FIRST_FINAL_STATUS; interim++) {
-                requireInterim(response.getCode(), interim);
+                requireFewerInterimHeads(interim);
                 response = connection.receiveResponseHeader();
             }
             requireNotTruncated();
             receivedResponses++;
             UpstreamResponseHead head = headOf(response);
-            ResponseFraming.requireUnambiguousLength(head);
             keepAlive =
                     ResponseFraming.keepsConnection(
                             head, !response.getVersion().lessEquals(HttpVersion.HTTP_1_0));
@@ -250,10 +247,7 @@
         }
     }
 
-    private void requireInterim(int status, int count) throws IOException, HttpException {
-        if (status == SWITCHING_PROTOCOLS) {
-            throw new ProtocolException("the endpoint switched to another protocol");
-        }
+    private void requireFewerInterimHeads(int count) throws MessageLimitException {
         if (count > environment.limits().interimHeads()) {
             throw new MessageLimitException(
                     MessageLimit.INTERIM_HEADS, environment.limits().interimHeads());
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/ResponseShapes.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/ResponseShapes.java
@@ -95,7 +95,13 @@
 
     /** Heads that are no HTTP. The body of those that have no other length ends with them. */
     public static Stream<Shape> invalidHeads() {
-        return Stream.of(invalidStatusLines(), invalidFieldLines(), joinedLines())
+        return Stream.of(
+                        invalidStatusLines(),
+                        invalidFieldLines(),
+                        joinedLines(),
+                        invalidLengths(),
+                        invalidTransferCodings(),
+                        invalidInterimHeads())
                 .flatMap(shapes -> shapes);
     }
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against responses of endpoints that are no HTTP and reach callers all the same (issue 47,
@@ -40,6 +41,12 @@
     private static final int SAMPLE = 7;
     private static final long CLOSE_TIMEOUT_MS = 5_000;
 
+    /** Says that the request did not run, and what else a relay obeys. */
+    private static final String REFUSAL =
+            "HTTP/1.1 503 X\r\n"
+                    + "Sapphire-Not-Run: 1\r\nRetry-After: 20\r\nSapphire-Rate-Limit: 1\r\n"
+                    + "Sapphire-Load: 1,1,1\r\nSapphire-Leaving: 1\r\n";
+
     private final AtomicReference<Shape> shape = new AtomicReference<>();
     private final AtomicReference<CountDownLatch> closed = new AtomicReference<>();
     private ScriptedEndpoint sharedEndpoint;
@@ -155,6 +162,103 @@
         }
     }
 
+    /**
+     * A head that is no HTTP does not say either that the request did not run, or what the endpoint
+     * wants.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X No: v",
+                "X-No\u0001te: v",
+                "X-Note",
+                "X-Note: v\r\n w",
+                "Content-Length: 0x0",
+                "Content-Length : 0"
+            })
+    void malformedRefusalIsNotObeyed(String line) throws Exception {
+        ScriptedEndpoint.Script script =
+                (request, socket, out) -> {
+                    write(out, REFUSAL + fields(request) + line + "\r\n\r\n");
+                    socket.close();
+                };
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint("e1", "z1", script);
+                ScriptedEndpoint other = soundEndpoint("e2");
+                RelayTestBed testBed = new RelayTestBed(endpoint, other).withTrafficPlan()) {
+            assertThat(testBed.call("POST", "/order/", "x"))
+                    .startsWith("HTTP/1.1 502")
+                    .doesNotContain("Retry-After");
+            assertThat(other.received()).isEmpty();
+            assertThat(testBed.signals().blockedCount()).isZero();
+            assertThat(testBed.signals().load(endpoint.state())).isEmpty();
+            assertThat(testBed.signals().isBlocked(endpoint.state())).isFalse();
+        }
+    }
+
+    /** A response to another request is discarded only if it is one. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X No: v\r\nContent-Length: 0\r\n\r\n",
+                "Content-Length: +0\r\n\r\n",
+                "X-Note: v\r\n w\r\nContent-Length: 0\r\n\r\n"
+            })
+    void malformedResponseToAnotherRequestEndsTheAttempt(String rest) throws Exception {
+        ScriptedEndpoint.Script script =
+                (request, socket, out) ->
+                        write(
+                                out,
+                                "HTTP/1.1 200 OK\r\nSapphire-Request-Id: other\r\n"
+                                        + rest
+                                        + response(request, 200, "Sapphire-Seal: s\r\n", "ok"));
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint("e1", "z1", script);
+                RelayTestBed testBed = new RelayTestBed(endpoint).withTrafficPlan()) {
+            assertThat(testBed.call("POST", "/order/", "x")).startsWith("HTTP/1.1 502");
+        }
+    }
+
+    /** A stream that has begun continues if the response that continues it is none. */
+    @ParameterizedTest(name = "{0}")
+    @ValueSource(strings = {"X No: v", "X-Note: v\r\n w", "Content-Length: x", "X-Note"})
+    void streamContinuesAfterAMalformedHeadOfItsContinuation(String line) throws Exception {
+        try (ScriptedEndpoint first =
+                        new ScriptedEndpoint(
+                                "e1",
+                                "z1",
+                                (request, socket, out) -> {
+                                    write(out, streamHeader(request, "s") + event(1));
+                                    socket.close();
+                                });
+                ScriptedEndpoint second =
+                        ScriptedEndpoint.responding(
+                                "e2",
+                                "z2",
+                                request ->
+                                        streamHeader(request, "s")
+                                                        .replace("\r\n\r\n", "\r\n" + line)
+                                                + "\r\n\r\n"
+                                                + event(2)
+                                                + "0\r\n\r\n");
+                ScriptedEndpoint third =
+                        ScriptedEndpoint.responding(
+                                "e3",
+                                "z3",
+                                request ->
+                                        streamHeader(request, "s")
+                                                + event(2)
+                                                + event(3)
+                                                + "0\r\n\r\n");
+                RelayTestBed testBed = new RelayTestBed(first, second, third).withTrafficPlan()) {
+            String response = testBed.call("POST", "/stream/", "x");
+
+            assertThat(response)
+                    .startsWith("HTTP/1.1 200")
+                    .containsSubsequence("data: e1\n", "data: e2\n", "data: e3\n")
+                    .containsOnlyOnce("data: e2\n")
+                    .endsWith("\r\n0\r\n\r\n");
+        }
+    }
+
     /** The rules reject nothing that HTTP allows. */
     @ParameterizedTest(name = "{0} {1}")
     @MethodSource("soundResponses")
