Chunks and trailers of responses follow the grammar

Cause: the library reads chunk sizes with Long.parseLong, ignores all that follows a semicolon, and takes the end of the connection for the end of a trailer. Change: ChunkInputBuffer checks the lines of chunked bodies as they were received. Their lines end with CR LF; section 2.2 allows LF alone only for those of fields. A resumable stream goes on elsewhere, with no event missing or twice. Why it works: a body is complete only after a last chunk and a trailer that are ones.

--- a/sapphire-http/src/main/java/io/sapphirestack/http/HttpSyntax.java
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/HttpSyntax.java
@@ -15,6 +15,13 @@
     private static final String BLANK = "[ \\t]";
     private static final String TOKEN_CHARACTER = "[!#$%&'*+.^_`|~0-9A-Za-z-]";
     private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]";
+    private static final String UNQUOTED_TEXT = "[\\t\\x20\\x21\\x23-\\x5b\\x5d-\\x7e\\x80-\\xff]";
+    private static final String QUOTED_STRING =
+            ("\"" + UNQUOTED_TEXT + "*+") + ("(?:\\\\" + TEXT + UNQUOTED_TEXT + "*+)*+\"");
+    private static final String CHUNK_EXTENSION =
+            (BLANK + "*+;" + BLANK + "*+" + TOKEN_CHARACTER + "++")
+                    + ("(?:" + BLANK + "*+=" + BLANK + "*+")
+                    + ("(?:" + TOKEN_CHARACTER + "++|" + QUOTED_STRING + "))?+");
 
     private static final Pattern STATUS_LINE =
             Pattern.compile(
@@ -23,6 +30,9 @@
     private static final Pattern TOKEN = Pattern.compile(TOKEN_CHARACTER + "++");
     private static final Pattern FIELD_START = Pattern.compile(TOKEN_CHARACTER + "++:");
     private static final Pattern DIGITS = Pattern.compile("[0-9]++");
+    private static final Pattern CHUNK_LINE =
+            Pattern.compile("[0-9A-Fa-f]++(?:" + CHUNK_EXTENSION + ")*+");
+    private static final Pattern LAST_CHUNK_START = Pattern.compile("0++(?![0-9A-Fa-f])");
 
     private HttpSyntax() {}
 
@@ -76,4 +86,23 @@
             return OptionalLong.empty();
         }
     }
+
+    /**
+     * Returns whether a line contains the size of a chunk and its extensions (RFC 9112, sections
+     * 7.1 and 7.1.1).
+     *
+     * @param line line
+     */
+    static boolean isChunkLine(CharSequence line) {
+        return CHUNK_LINE.matcher(line).matches();
+    }
+
+    /**
+     * Returns whether a chunk line is that of the last chunk, whose size is 0.
+     *
+     * @param line chunk line
+     */
+    static boolean isLastChunkLine(CharSequence line) {
+        return LAST_CHUNK_START.matcher(line).lookingAt();
+    }
 }
--- a/sapphire-http/src/main/java/io/sapphirestack/http/StrictClientConnection.java
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/StrictClientConnection.java
@@ -5,9 +5,11 @@
 import java.nio.charset.CharsetEncoder;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.DefaultClassicHttpResponseFactory;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
@@ -16,13 +18,16 @@
 import org.apache.hc.core5.http.message.BasicLineParser;
 
 /**
- * HTTP/1.1 client connection that accepts only heads, also interim ones, that follow the grammar of
- * RFC 9112, with a {@link MalformedHeadException} otherwise. After it, nothing of the response may
- * be used, and the connection must be closed. Used by one thread, except that any thread may close
- * it.
+ * HTTP/1.1 client connection that accepts only responses that follow the grammar of RFC 9112:
+ * heads, also interim ones, with a {@link MalformedHeadException} otherwise, and chunked bodies
+ * with their trailers, with an {@code MalformedChunkCodingException} of the library. After either,
+ * nothing of the response may be used, and the connection must be closed. Used by one thread,
+ * except that any thread may close it.
  */
 public final class StrictClientConnection extends DefaultBHttpClientConnection {
 
+    private final Http1Config config;
+
     /**
      * Creates a connection that is not bound to a socket yet.
      *
@@ -31,6 +36,16 @@
      */
     public StrictClientConnection(Http1Config config, CharsetEncoder encoder) {
         super(config, null, encoder, null, null, null, ignored -> new HeadParser(config));
+        this.config = config;
+    }
+
+    @Override
+    protected InputStream createContentInputStream(
+            long length, SessionInputBuffer buffer, InputStream in) {
+        return length == ContentLengthStrategy.CHUNKED
+                ? new ChunkedInputStream(
+                        new ChunkInputBuffer(buffer, config.getMaxLineLength()), in, config)
+                : super.createContentInputStream(length, buffer, in);
     }
 
     /**
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
@@ -29,6 +29,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
@@ -365,6 +366,10 @@
             return createException(
                     "receive", "the response is no HTTP: " + cause.getMessage(), cause);
         }
+        if (cause instanceof MalformedChunkCodingException) {
+            // Its message may contain what the endpoint sent.
+            return createException("receive", "the chunks of the response are no HTTP", cause);
+        }
         return createException("receive", message, cause);
     }
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/EngineClientTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/EngineClientTests.java
@@ -215,6 +215,19 @@
         assertThatThrownBy(this::attach).isInstanceOf(EndpointException.class);
     }
 
+    static Stream<ResponseShapes.Shape> invalidChunkSizes() {
+        return ResponseShapes.invalidChunks().filter(s -> s.name().startsWith("chunk size"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("invalidChunkSizes")
+    void malformedChunkBreaksTheStreamOff(ResponseShapes.Shape shape) throws Exception {
+        script = (socket, out) -> write(out, shape.octets(""));
+        try (EngineStream stream = attach()) {
+            assertThatThrownBy(stream::next).isInstanceOf(EndpointException.class);
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("io.sapphirestack.runtime.connection.ResponseShapes#soundResponses")
     void soundStreamOfUnusualLooksIsRead(ResponseShapes.Shape shape) throws Exception {
@@ -234,7 +247,7 @@
     }
 
     static Stream<ResponseShapes.Shape> invalidResponses() {
-        return ResponseShapes.invalidHeads();
+        return Stream.concat(ResponseShapes.invalidHeads(), ResponseShapes.invalidChunks());
     }
 
     /** An order whose response is no HTTP is neither accepted nor refused. */
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
@@ -311,7 +311,7 @@
     }
 
     static Stream<Shape> invalidResponses() {
-        return ResponseShapes.invalidHeads();
+        return Stream.concat(ResponseShapes.invalidHeads(), ResponseShapes.invalidChunks());
     }
 
     private void respond(Shape shape) {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/MalformedServiceResponseTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/MalformedServiceResponseTests.java
@@ -172,7 +172,9 @@
     }
 
     static Stream<Shape> someInvalidResponses() {
-        List<Shape> all = ResponseShapes.invalidHeads().toList();
+        List<Shape> all =
+                Stream.concat(ResponseShapes.invalidHeads(), ResponseShapes.invalidChunks())
+                        .toList();
         return IntStream.range(0, all.size()).filter(i -> i % SAMPLE == 0).mapToObj(all::get);
     }
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/CopyOrderClientTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/CopyOrderClientTests.java
@@ -55,7 +55,7 @@
     }
 
     static Stream<Shape> invalidResponses() {
-        return ResponseShapes.invalidHeads();
+        return Stream.concat(ResponseShapes.invalidHeads(), ResponseShapes.invalidChunks());
     }
 
     /** A copy whose order has no valid response is not relied on. */
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
@@ -79,6 +79,10 @@
         return onEachPath(ResponseShapes.invalidHeads());
     }
 
+    static Stream<Arguments> invalidChunks() {
+        return onEachPath(ResponseShapes.invalidChunks());
+    }
+
     static Stream<Arguments> soundResponses() {
         return onEachPath(ResponseShapes.soundResponses());
     }
@@ -93,6 +97,10 @@
         return onEachPath(sample(ResponseShapes.invalidHeads()));
     }
 
+    static Stream<Arguments> someInvalidChunks() {
+        return onEachPath(sample(ResponseShapes.invalidChunks()));
+    }
+
     private static String fields(ScriptedEndpoint.Received request) {
         return "Sapphire-Request-Id: "
                 + request.headers().get("Sapphire-Request-Id")
@@ -162,6 +170,46 @@
         }
     }
 
+    /** A plain response is none; a caller of a stream sees that its connection breaks off. */
+    @ParameterizedTest(name = "{0} {1}")
+    @MethodSource("invalidChunks")
+    void malformedChunksAreNeverASuccess(String path, Shape next) throws Exception {
+        String response = call(path, next);
+
+        if (path.equals("/stream/") && response.startsWith("HTTP/1.1 200")) {
+            assertThat(response).doesNotContain("\r\n0\r\n");
+        } else {
+            assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(TELLTALE);
+        }
+        assertConnectionClosed();
+    }
+
+    /** A stream whose chunks are spoilt continues elsewhere, with no event missing or twice. */
+    @ParameterizedTest(name = "{1}")
+    @MethodSource("someInvalidChunks")
+    void requestWithMalformedChunksIsRepeatedIfThatIsSafe(String path, Shape shape)
+            throws Exception {
+        try (ScriptedEndpoint endpoint = endpoint(() -> shape, () -> {});
+                ScriptedEndpoint other = soundEndpoint("e2");
+                RelayTestBed testBed = new RelayTestBed(endpoint, other).withTrafficPlan()) {
+            String response = testBed.call("POST", path, "x");
+
+            if (path.equals("/order/")) {
+                assertThat(response).startsWith("HTTP/1.1 502");
+                assertThat(other.received()).isEmpty();
+            } else {
+                assertThat(response).startsWith("HTTP/1.1 200").containsOnlyOnce("data: e1\n");
+                assertThat(other.received()).hasSize(1);
+            }
+            if (path.equals("/stream/")) {
+                String resumedAfter = other.received().get(0).headers().get("Last-Event-Id");
+                boolean isDelivered = response.contains(ResponseShapes.BODY);
+                assertThat(resumedAfter).isEqualTo(isDelivered ? "0" : null);
+                assertThat(response).endsWith("\r\n0\r\n\r\n");
+            }
+        }
+    }
+
     /**
      * A head that is no HTTP does not say either that the request did not run, or what the endpoint
      * wants.
@@ -201,7 +249,8 @@
             strings = {
                 "X No: v\r\nContent-Length: 0\r\n\r\n",
                 "Content-Length: +0\r\n\r\n",
-                "X-Note: v\r\n w\r\nContent-Length: 0\r\n\r\n"
+                "X-Note: v\r\n w\r\nContent-Length: 0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n+0\r\n\r\n"
             })
     void malformedResponseToAnotherRequestEndsTheAttempt(String rest) throws Exception {
         ScriptedEndpoint.Script script =
