Chunk lines and trailers of endpoints have a limit on the own interface

What callers could see: an instance out of memory. Found while the chunks were read, not reported. Cause: bodies and events have limits there, lines within chunked bodies had none: a chunk extension or a trailer grew until the timeout of the body (1 s in the test, 10 s in an instance). Change: lines of endpoints have at most 64 KiB on the own interface too, and trailers on all paths. Whether an instance ends was not tried.

--- a/sapphire-http/src/main/java/io/sapphirestack/http/ChunkInputBuffer.java
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/ChunkInputBuffer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
@@ -11,7 +12,14 @@
  */
 final class ChunkInputBuffer extends CheckedLineBuffer {
 
+    /** Maximum size of a trailer in bytes. */
+    private static final int MAX_TRAILER_BYTES = 65_536;
+
+    /** Bytes that a line of a trailer counts for besides its characters. */
+    private static final int LINE_BYTES = 64;
+
     private Part part = Part.SIZE;
+    private int trailerBytes;
 
     /** Part of a chunked body to which a line belongs. */
     private enum Part {
@@ -45,6 +53,10 @@
     }
 
     private void checkTrailer(CharArrayBuffer line) throws IOException {
+        trailerBytes += line.length() + LINE_BYTES;
+        if (trailerBytes > MAX_TRAILER_BYTES) {
+            throw new MessageConstraintException("Maximum trailer size exceeded");
+        }
         if (!line.isEmpty() && !HttpSyntax.isFieldLine(line)) {
             throw new MalformedChunkCodingException("a line of the trailer is no field");
         }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointConnection.java
@@ -28,7 +28,11 @@
 public final class EndpointConnection implements Closeable {
 
     /** Maximum size of the head of a response, interim heads included, in bytes. */
-    private static final long MAX_HEAD_BYTES = 65_536;
+    private static final int MAX_HEAD_BYTES = 65_536;
+
+    /** Also limits the lines of chunked bodies. */
+    private static final Http1Config HTTP_CONFIG =
+            Http1Config.custom().setMaxLineLength(MAX_HEAD_BYTES).build();
 
     private final String address;
     private final TrackedSocket socket;
@@ -71,8 +75,7 @@
                             Integer.parseInt(address.substring(colon + 1)));
             socket.setTcpNoDelay(true);
             socket.connect(target, Math.toIntExact(connectTimeoutMs));
-            DefaultBHttpClientConnection connection =
-                    EndpointHttpConnections.create(Http1Config.DEFAULT);
+            DefaultBHttpClientConnection connection = EndpointHttpConnections.create(HTTP_CONFIG);
             connection.bind(socket);
             connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMs));
             return new EndpointConnection(address, socket, connection, readTimeoutMs);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
@@ -17,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.stream.Stream;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -291,6 +292,25 @@
         }
     }
 
+    /** Lines of chunked bodies are no part of the body, whose size is limited. */
+    @ParameterizedTest
+    @CsvSource({"1;a=, x", "'0\r\n', 'X: v\r\n'", "'0\r\nX: ', v"})
+    void chunkLinesAndTrailersWithoutEndExceedALimit(String start, String repeated)
+            throws Exception {
+        script =
+                (id, number, out) -> {
+                    write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + start);
+                    while (true) {
+                        write(out, repeated.repeat(1_000));
+                    }
+                };
+        try (PlainConnection connection = open()) {
+            assertThatThrownBy(() -> read(connection))
+                    .isInstanceOf(EndpointException.class)
+                    .hasCauseInstanceOf(MessageConstraintException.class);
+        }
+    }
+
     /** One machine must not keep all that sick endpoints send (report of other operators). */
     @Test
     void bodyForWhichThereIsNoMemoryFails() throws Exception {
