The client library, the command line and the stand-ins reject responses that are no HTTP

What callers saw: nothing was reported; the client library uses the same HTTP library, with its defaults. Change: SapphireClient and the connections of the stand-ins are made from StrictClientConnection.

--- a/sapphire-cli/src/test/java/io/sapphirestack/cli/SapphireCliTests.java
+++ b/sapphire-cli/src/test/java/io/sapphirestack/cli/SapphireCliTests.java
@@ -6,7 +6,11 @@
 import io.sapphirestack.client.ClientException;
 import io.sapphirestack.client.ProblemDetails;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -76,6 +80,41 @@
         assertThat(err.toString(StandardCharsets.UTF_8)).contains("parse-record");
     }
 
+    /** A response that is no HTTP is not printed as one of the system (issue 47). */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content Length: 2", "X-Note: v\r\n w", "Content-Length: +2"})
+    void responseThatIsNoHttpIsNone(String fields) throws Exception {
+        byte[] response =
+                ("HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\n{}").getBytes(StandardCharsets.UTF_8);
+        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread thread = new Thread(() -> sendToAll(server, response), "malformed-server");
+            thread.setDaemon(true);
+            thread.start();
+            ExitCode exitCode =
+                    cli.run(
+                            "--addresses",
+                            "127.0.0.1:" + server.getLocalPort(),
+                            "--timeout-ms",
+                            "300",
+                            "status");
+
+            assertThat(exitCode).isEqualTo(ExitCode.UNREACHABLE);
+            assertThat(out.toString(StandardCharsets.UTF_8)).isEmpty();
+        }
+    }
+
+    private static void sendToAll(ServerSocket server, byte[] response) {
+        while (!server.isClosed()) {
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read(new byte[8_192]);
+                socket.getOutputStream().write(response);
+            } catch (IOException e) {
+                // The client has closed the connection, or the test has ended.
+                continue;
+            }
+        }
+    }
+
     @Test
     void reportsUnreachableSystemAsJson() throws Exception {
         ExitCode exitCode =
--- a/sapphire-client/src/main/java/io/sapphirestack/client/SapphireClient.java
+++ b/sapphire-client/src/main/java/io/sapphirestack/client/SapphireClient.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.http.StrictClientConnection;
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,8 +20,10 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
+import org.apache.hc.core5.http.io.HttpClientConnection;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
@@ -47,6 +51,9 @@
     private static final long RETRY_PAUSE_MS = 100;
     private static final int MAX_CONNECTIONS_PER_ADDRESS = 256;
     private static final int MAX_CONNECTIONS = 2_048;
+    private static final int MAX_LINE_BYTES = 65_536;
+    private static final Http1Config HTTP_CONFIG =
+            Http1Config.custom().setMaxLineLength(MAX_LINE_BYTES).build();
 
     private final ClientOptions options;
     private final MillisClock clock;
@@ -89,11 +96,18 @@
         return RequesterBootstrap.bootstrap()
                 .setSocketConfig(config)
                 .setHttpProcessor(processor)
+                .setConnectionFactory(SapphireClient::connect)
                 .setDefaultMaxPerRoute(MAX_CONNECTIONS_PER_ADDRESS)
                 .setMaxTotal(MAX_CONNECTIONS)
                 .create();
     }
 
+    private static HttpClientConnection connect(Socket socket) throws IOException {
+        StrictClientConnection connection = new StrictClientConnection(HTTP_CONFIG, null);
+        connection.bind(socket);
+        return connection;
+    }
+
     /**
      * Sends a request to one address after another until one of them executes it. The timeout of
      * the options is checked between attempts, and also limits each read of an attempt.
--- a/sapphire-standins/src/main/java/io/sapphirestack/standins/support/StandInClientConnection.java
+++ b/sapphire-standins/src/main/java/io/sapphirestack/standins/support/StandInClientConnection.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.standins.support;
 
+import io.sapphirestack.http.StrictClientConnection;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -9,7 +10,6 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
@@ -25,9 +25,9 @@
 public final class StandInClientConnection implements Closeable {
 
     private final String address;
-    private final DefaultBHttpClientConnection connection;
+    private final StrictClientConnection connection;
 
-    private StandInClientConnection(String address, DefaultBHttpClientConnection connection) {
+    private StandInClientConnection(String address, StrictClientConnection connection) {
         this.address = address;
         this.connection = connection;
     }
@@ -52,8 +52,8 @@
                             address.substring(0, colon),
                             Integer.parseInt(address.substring(colon + 1))),
                     connectTimeoutMs);
-            DefaultBHttpClientConnection connection =
-                    new DefaultBHttpClientConnection(Http1Config.DEFAULT);
+            StrictClientConnection connection =
+                    new StrictClientConnection(Http1Config.DEFAULT, null);
             connection.bind(socket);
             connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMs));
             return new StandInClientConnection(address, connection);
