Tests: one client of the control log for orders, framing of requests

Change: OrderFixtures.controlClient, ResponseShapes.sample; three more requests that are refused (a parameter of chunked, an empty list, a coding of HTTP/1.0).

--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/ResponseShapes.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/ResponseShapes.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -20,6 +21,7 @@
     public static final String TELLTALE = "X-Telltale: v\r\n";
 
     private static final int LAST_OCTET = 0xFF;
+    private static final int SAMPLE_INTERVAL = 7;
     private static final String SEPARATORS = "\"(),/;<=>?@[\\]{}";
     private static final String STATUS = "HTTP/1.1 200 OK";
     private static final String LENGTH = "Content-Length: " + BODY.length();
@@ -93,6 +95,14 @@
         return octets(octet -> isControl(octet) && octet != '\n' || others.indexOf(octet) >= 0);
     }
 
+    /** Chooses some shapes of each kind, for tests that take longer. */
+    public static Stream<Shape> sample(Stream<Shape> shapes) {
+        List<Shape> all = shapes.toList();
+        return IntStream.range(0, all.size())
+                .filter(i -> i % SAMPLE_INTERVAL == 0)
+                .mapToObj(all::get);
+    }
+
     /** Heads that are no HTTP. The body of those that have no other length ends with them. */
     public static Stream<Shape> invalidHeads() {
         return Stream.of(
@@ -453,7 +463,7 @@
                         "chunk size",
                         Stream.of(
                                 CHUNK_SIZE,
-                                CHUNK_SIZE.toUpperCase(java.util.Locale.ROOT),
+                                CHUNK_SIZE.toUpperCase(Locale.ROOT),
                                 "0" + CHUNK_SIZE,
                                 "00000000000000000000000000" + CHUNK_SIZE,
                                 CHUNK_SIZE + ";a",
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/DefaultOrderServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/DefaultOrderServiceTests.java
@@ -5,7 +5,6 @@
 
 import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.control.ControlResult;
-import io.sapphirestack.core.control.FleetStatus;
 import io.sapphirestack.core.error.ExecutionState;
 import io.sapphirestack.core.error.RefusedException;
 import io.sapphirestack.core.id.AccountId;
@@ -50,23 +49,15 @@
     private DefaultOrderService service(Executor executor) {
         blackboard.self().publish(Optional.of(new InstanceRef(InstanceId.of("i1"), 1)));
         ControlClient control =
-                new ControlClient() {
-                    @Override
-                    public CompletableFuture<ControlResult> submit(
-                            ControlCommand command, long timeoutMs) {
-                        calls.add(command.getClass().getSimpleName());
-                        ControlResult result = ledger.apply(command);
-                        return command instanceof ControlCommand.CompleteOrder
-                                        && !commitsAreConfirmed
-                                ? new CompletableFuture<>()
-                                : CompletableFuture.completedFuture(result);
-                    }
-
-                    @Override
-                    public CompletableFuture<FleetStatus> fleetStatus(long timeoutMs) {
-                        throw new UnsupportedOperationException();
-                    }
-                };
+                OrderFixtures.controlClient(
+                        command -> {
+                            calls.add(command.getClass().getSimpleName());
+                            ControlResult result = ledger.apply(command);
+                            return command instanceof ControlCommand.CompleteOrder
+                                            && !commitsAreConfirmed
+                                    ? new CompletableFuture<>()
+                                    : CompletableFuture.completedFuture(result);
+                        });
         return new DefaultOrderService(
                 blackboard,
                 control,
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/MalformedServiceResponseTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/MalformedServiceResponseTests.java
@@ -3,9 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import io.sapphirestack.core.control.ControlCommand;
-import io.sapphirestack.core.control.ControlResult;
-import io.sapphirestack.core.control.FleetStatus;
 import io.sapphirestack.core.error.ExecutionState;
 import io.sapphirestack.core.error.RefusedException;
 import io.sapphirestack.core.id.AccountId;
@@ -18,7 +15,6 @@
 import io.sapphirestack.runtime.blackboard.Blackboard;
 import io.sapphirestack.runtime.connection.ResponseShapes;
 import io.sapphirestack.runtime.connection.ResponseShapes.Shape;
-import io.sapphirestack.runtime.control.ControlClient;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -30,7 +26,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -45,7 +40,6 @@
 @Timeout(60)
 class MalformedServiceResponseTests {
 
-    private static final int SAMPLE = 9;
     private static final long MEMORY_BYTES = 16L * 1_024 * 1_024;
     private static final long TIMEOUT_MS = 5_000;
     private static final AccountId ACCOUNT = AccountId.of("a");
@@ -142,22 +136,10 @@
     private DefaultOrderService orderService() {
         Blackboard blackboard = Blackboard.create();
         blackboard.self().publish(Optional.of(new InstanceRef(InstanceId.of("i1"), 1)));
-        ControlClient control =
-                new ControlClient() {
-                    @Override
-                    public CompletableFuture<ControlResult> submit(
-                            ControlCommand command, long timeoutMs) {
-                        return CompletableFuture.completedFuture(ledger.apply(command));
-                    }
-
-                    @Override
-                    public CompletableFuture<FleetStatus> fleetStatus(long timeoutMs) {
-                        throw new UnsupportedOperationException();
-                    }
-                };
         return new DefaultOrderService(
                 blackboard,
-                control,
+                OrderFixtures.controlClient(
+                        command -> CompletableFuture.completedFuture(ledger.apply(command))),
                 name -> Optional.of(OrderFixtures.SPEC),
                 OrderFixtures.firstOf(endpoints()),
                 (endpoint, kind) -> () -> {},
@@ -172,10 +154,8 @@
     }
 
     static Stream<Shape> someInvalidResponses() {
-        List<Shape> all =
-                Stream.concat(ResponseShapes.invalidHeads(), ResponseShapes.invalidChunks())
-                        .toList();
-        return IntStream.range(0, all.size()).filter(i -> i % SAMPLE == 0).mapToObj(all::get);
+        return ResponseShapes.sample(
+                Stream.concat(ResponseShapes.invalidHeads(), ResponseShapes.invalidChunks()));
     }
 
     @ParameterizedTest
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
@@ -11,12 +11,10 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -38,7 +36,6 @@
 
     private static final String[] PATHS = {"/order/", "/read/", "/stream/"};
     private static final String TELLTALE = "X-Telltale";
-    private static final int SAMPLE = 7;
     private static final long CLOSE_TIMEOUT_MS = 5_000;
 
     /** Says that the request did not run, and what else a relay obeys. */
@@ -87,18 +84,12 @@
         return onEachPath(ResponseShapes.soundResponses());
     }
 
-    /** Chooses some shapes of each kind, for tests that need a relay of their own. */
-    private static Stream<Shape> sample(Stream<Shape> shapes) {
-        List<Shape> all = shapes.toList();
-        return IntStream.range(0, all.size()).filter(i -> i % SAMPLE == 0).mapToObj(all::get);
-    }
-
     static Stream<Arguments> someInvalidHeads() {
-        return onEachPath(sample(ResponseShapes.invalidHeads()));
+        return onEachPath(ResponseShapes.sample(ResponseShapes.invalidHeads()));
     }
 
     static Stream<Arguments> someInvalidChunks() {
-        return onEachPath(sample(ResponseShapes.invalidChunks()));
+        return onEachPath(ResponseShapes.sample(ResponseShapes.invalidChunks()));
     }
 
     private static String fields(ScriptedEndpoint.Received request) {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -167,6 +167,8 @@
                 "Content-Length: 4\r\nContent-Length: 5\r\n",
                 "Transfer-Encoding: gzip, chunked\r\n",
                 "Content-Length: +4\r\n",
+                "Transfer-Encoding: chunked;q=1\r\n",
+                "Transfer-Encoding: ,\r\n",
                 "Host: other\r\n"
             })
     void ambiguousRequestIsRejectedAndItsRestIsNotParsedAsARequest(String fields) throws Exception {
@@ -183,6 +185,19 @@
         }
     }
 
+    /** The framing of such a request is faulty (RFC 9112, section 6.1). */
+    @Test
+    void transferCodingOfHttp10IsRejected() throws Exception {
+        try (ScriptedEndpoint endpoint = respondingEndpoint("e1", "ok");
+                RelayTestBed testBed = new RelayTestBed(endpoint).withTrafficPlan()) {
+            String request =
+                    RelayTestBed.request("POST", "/order/", "Transfer-Encoding: chunked\r\n", "");
+            String response = testBed.call(request.replace("HTTP/1.1", "HTTP/1.0") + "0\r\n\r\n");
+            assertThat(status(response)).isEqualTo(400);
+            assertThat(endpoint.received()).isEmpty();
+        }
+    }
+
     /** Responses that the callers of one account do not read would take the memory of all. */
     @Test
     void requestOfAnAccountThatHoldsItsPartOfTheMemoryIsRefusedAsNotRun() throws Exception {
