Grammar of HTTP: named parts, and sound responses of the tests in a class of their own

Change: each part of a pattern has a name; one pattern for the chunked coding; SoundResponseShapes. No rule changes.

--- a/sapphire-http/src/main/java/io/sapphirestack/http/HttpSyntax.java
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/HttpSyntax.java
@@ -12,24 +12,26 @@
  */
 public final class HttpSyntax {
 
-    private static final String BLANK = "[ \\t]";
-    private static final String TOKEN_CHARACTER = "[!#$%&'*+.^_`|~0-9A-Za-z-]";
+    private static final String BLANKS = "[ \\t]*+";
     private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]";
-    private static final String UNQUOTED_TEXT = "[\\t\\x20\\x21\\x23-\\x5b\\x5d-\\x7e\\x80-\\xff]";
+    private static final String NAME = "[!#$%&'*+.^_`|~0-9A-Za-z-]++";
+    private static final String UNESCAPED = "[\\t\\x20\\x21\\x23-\\x5b\\x5d-\\x7e\\x80-\\xff]*+";
+    private static final String ESCAPED = "\\\\" + TEXT;
     private static final String QUOTED_STRING =
-            ("\"" + UNQUOTED_TEXT + "*+") + ("(?:\\\\" + TEXT + UNQUOTED_TEXT + "*+)*+\"");
+            "\"" + UNESCAPED + "(?:" + ESCAPED + UNESCAPED + ")*+\"";
+    private static final String EXTENSION_VALUE = "(?:" + NAME + "|" + QUOTED_STRING + ")";
     private static final String CHUNK_EXTENSION =
-            (BLANK + "*+;" + BLANK + "*+" + TOKEN_CHARACTER + "++")
-                    + ("(?:" + BLANK + "*+=" + BLANK + "*+")
-                    + ("(?:" + TOKEN_CHARACTER + "++|" + QUOTED_STRING + "))?+");
+            BLANKS + ";" + BLANKS + NAME + "(?:" + BLANKS + "=" + BLANKS + EXTENSION_VALUE + ")?+";
+    private static final String REASON_PHRASE = "(?:[ \\t]" + TEXT + "*+)?+";
 
     private static final Pattern STATUS_LINE =
             Pattern.compile(
-                    (BLANK + "*+HTTP/1\\.[0-9]" + BLANK + "++[1-5][0-9][0-9]")
-                            + ("(?:" + BLANK + TEXT + "*+)?+"));
-    private static final Pattern TOKEN = Pattern.compile(TOKEN_CHARACTER + "++");
-    private static final Pattern FIELD_START = Pattern.compile(TOKEN_CHARACTER + "++:");
+                    BLANKS + "HTTP/1\\.[0-9][ \\t]" + BLANKS + "[1-5][0-9][0-9]" + REASON_PHRASE);
+    private static final Pattern TOKEN = Pattern.compile(NAME);
+    private static final Pattern FIELD_START = Pattern.compile(NAME + ":");
     private static final Pattern DIGITS = Pattern.compile("[0-9]++");
+    private static final Pattern CHUNKED_CODING =
+            Pattern.compile("[ \\t,]*+chunked[ \\t,]*+", Pattern.CASE_INSENSITIVE);
     private static final Pattern CHUNK_LINE =
             Pattern.compile("[0-9A-Fa-f]++(?:" + CHUNK_EXTENSION + ")*+");
     private static final Pattern LAST_CHUNK_START = Pattern.compile("0++(?![0-9A-Fa-f])");
@@ -87,6 +89,17 @@
         }
     }
 
+    /**
+     * Returns whether a {@code Transfer-Encoding} field lists the chunked coding alone, without
+     * parameters (RFC 9112, section 7.1). Empty elements of the list do not count (RFC 9110,
+     * section 5.6.1).
+     *
+     * @param value value of the field
+     */
+    static boolean isChunkedAlone(String value) {
+        return CHUNKED_CODING.matcher(value).matches();
+    }
+
     /**
      * Returns whether a line contains the size of a chunk and its extensions (RFC 9112, sections
      * 7.1 and 7.1.1).
--- a/sapphire-http/src/main/java/io/sapphirestack/http/MessageFraming.java
+++ b/sapphire-http/src/main/java/io/sapphirestack/http/MessageFraming.java
@@ -1,7 +1,5 @@
 package io.sapphirestack.http;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -14,8 +12,6 @@
  */
 public final class MessageFraming {
 
-    private static final String CHUNKED = "chunked";
-
     private MessageFraming() {}
 
     /** What is wrong with the framing of a message. */
@@ -53,7 +49,7 @@
     public static Optional<Fault> faultOf(HttpMessage message) {
         Header[] lengths = message.getHeaders(HttpHeaders.CONTENT_LENGTH);
         Header[] codings = message.getHeaders(HttpHeaders.TRANSFER_ENCODING);
-        if (lengths.length > 1 || codings.length > 1 || lengths.length + codings.length > 1) {
+        if (lengths.length + codings.length > 1) {
             return Optional.of(Fault.AMBIGUOUS_LENGTH);
         }
         if (codings.length > 0) {
@@ -68,38 +64,9 @@
         if (message.getVersion() != null && message.getVersion().lessEquals(HttpVersion.HTTP_1_0)) {
             return Optional.of(Fault.CODING_OF_HTTP_1_0);
         }
-        List<String> elements = elementsOf(value);
-        boolean isChunked = elements.size() == 1 && elements.get(0).equalsIgnoreCase(CHUNKED);
-        return isChunked ? Optional.empty() : Optional.of(Fault.UNSUPPORTED_CODING);
-    }
-
-    /** Returns the elements of a list without the empty ones (RFC 9110, section 5.6.1). */
-    private static List<String> elementsOf(String value) {
-        List<String> elements = new ArrayList<>();
-        for (String element : value.split(",")) {
-            String stripped = stripBlanks(element);
-            if (!stripped.isEmpty()) {
-                elements.add(stripped);
-            }
-        }
-        return elements;
-    }
-
-    /** Strips spaces and tabs, unlike {@link String#trim()}, which also strips controls. */
-    private static String stripBlanks(String text) {
-        int start = 0;
-        int end = text.length();
-        while (start < end && isBlank(text.charAt(start))) {
-            start++;
-        }
-        while (end > start && isBlank(text.charAt(end - 1))) {
-            end--;
-        }
-        return text.substring(start, end);
-    }
-
-    private static boolean isBlank(char character) {
-        return character == ' ' || character == '\t';
+        return HttpSyntax.isChunkedAlone(value)
+                ? Optional.empty()
+                : Optional.of(Fault.UNSUPPORTED_CODING);
     }
 
     private static String valueOf(Header header) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
@@ -228,7 +228,7 @@
                     .guardHead(guardOf(check), (long) limits.headBytes() + BUFFER_BYTES);
             ClassicHttpResponse response = connection.receiveResponseHeader();
             for (int interim = 1; response.getCode() < FIRST_FINAL_STATUS; interim++) {
-                requireFewerInterimHeads(interim);
+                limitInterimHeads(interim);
                 response = connection.receiveResponseHeader();
             }
             requireNotTruncated();
@@ -248,7 +248,7 @@
         }
     }
 
-    private void requireFewerInterimHeads(int count) throws MessageLimitException {
+    private void limitInterimHeads(int count) throws MessageLimitException {
         if (count > environment.limits().interimHeads()) {
             throw new MessageLimitException(
                     MessageLimit.INTERIM_HEADS, environment.limits().interimHeads());
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/ResponseShapes.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/connection/ResponseShapes.java
@@ -2,15 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
- * Responses as octets, for each part of the grammar of RFC 9112, sections 4 to 7, and RFC 9110,
- * sections 5 and 8.6: those that are no HTTP, and sound ones of unusual looks. All have the status
- * 200 and the same body, which is one event of a stream.
+ * Responses that are no HTTP, as octets, for each part of the grammar of RFC 9112, sections 4 to 7,
+ * and RFC 9110, sections 5 and 8.6. All have the status 200 and the same body, which is one event
+ * of a stream. {@link SoundResponseShapes} are those that follow the grammar.
  */
 public final class ResponseShapes {
 
@@ -23,10 +22,10 @@
     private static final int LAST_OCTET = 0xFF;
     private static final int SAMPLE_INTERVAL = 7;
     private static final String SEPARATORS = "\"(),/;<=>?@[\\]{}";
-    private static final String STATUS = "HTTP/1.1 200 OK";
-    private static final String LENGTH = "Content-Length: " + BODY.length();
+    static final String STATUS = "HTTP/1.1 200 OK";
+    static final String LENGTH = "Content-Length: " + BODY.length();
     private static final String CHUNKED = "Transfer-Encoding: chunked";
-    private static final String CHUNK_SIZE = Integer.toHexString(BODY.length());
+    static final String CHUNK_SIZE = Integer.toHexString(BODY.length());
 
     private ResponseShapes() {}
 
@@ -53,7 +52,7 @@
         }
     }
 
-    private static Shape shape(String part, String text, String template) {
+    static Shape shape(String part, String text, String template) {
         StringBuilder name = new StringBuilder(part).append(' ');
         for (char c : text.toCharArray()) {
             name.append(c > ' ' && c < 0x7F ? String.valueOf(c) : "\\x%02x".formatted((int) c));
@@ -61,15 +60,15 @@
         return new Shape(name.toString(), template);
     }
 
-    private static Stream<Shape> shapes(String part, Stream<String> texts, String template) {
+    static Stream<Shape> shapes(String part, Stream<String> texts, String template) {
         return texts.map(text -> shape(part, text, template.replace("%%", text)));
     }
 
-    private static String response(String statusLine, String fieldLines, String body) {
+    static String response(String statusLine, String fieldLines, String body) {
         return statusLine + "\r\n" + fieldLines + "\r\n\r\n" + body;
     }
 
-    private static String chunked(String body) {
+    static String chunked(String body) {
         return response(STATUS, "@@" + CHUNKED, body);
     }
 
@@ -382,111 +381,4 @@
                         "\r"),
                 chunked(CHUNK_SIZE + "\r\n" + BODY + "\r\n0\r\n%%"));
     }
-
-    /** Sound responses of unusual looks; the caller gets each of them. */
-    public static Stream<Shape> soundResponses() {
-        return Stream.of(soundStatusLines(), soundFieldLines(), soundLengths(), soundChunks())
-                .flatMap(shapes -> shapes);
-    }
-
-    private static Stream<Shape> soundStatusLines() {
-        Stream<Shape> lines =
-                shapes(
-                        "status line",
-                        Stream.of(
-                                "HTTP/1.1 200",
-                                "HTTP/1.1 200 ",
-                                "HTTP/1.1  200  OK ",
-                                "HTTP/1.1\t200\tOK",
-                                " HTTP/1.1 200 OK",
-                                "HTTP/1.1 200 a:b, \"c\" (d)\t\u0080\u00ff",
-                                "HTTP/1.1 200 200",
-                                "HTTP/1.0 200 OK",
-                                "HTTP/1.9 200 OK",
-                                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
-                                "HTTP/1.1 103\r\nLink: <a>; b\r\nX-N:\r\n\r\nHTTP/1.1 200 OK",
-                                "HTTP/1.1 100\n\nHTTP/1.1 102 \r\n\r\nHTTP/1.1 200 OK"),
-                        response("%%", "@@" + LENGTH, BODY));
-        Shape lineFeeds =
-                shape(
-                        "head",
-                        "without CR",
-                        "HTTP/1.1 200 OK\n@@X-Note: v\n" + LENGTH + "\n\n" + BODY);
-        return Stream.concat(lines, Stream.of(lineFeeds));
-    }
-
-    private static Stream<Shape> soundFieldLines() {
-        return shapes(
-                "field line",
-                Stream.of(
-                        "!#$%&'*+-.^_`|~059azAZ: v",
-                        "x: v",
-                        "X-Note:",
-                        "X-Note: ",
-                        "X-Note:v",
-                        "X-Note: \t v\t ",
-                        "X-Note: : a:b",
-                        "X-Note: \"(),/;<=>?@[\\]{}\" \t\u0080\u00ff",
-                        "X-Note: v\r\nX-Note: w",
-                        "Vary: , a,, b ,",
-                        "Connection: , keep-alive ,,",
-                        "Transfer-Encodings: gzip",
-                        "Content-Lengths: x",
-                        "X-Content-Length: 5"),
-                response(STATUS, "@@%%\r\n" + LENGTH, BODY));
-    }
-
-    private static Stream<Shape> soundLengths() {
-        int n = BODY.length();
-        String chunks = CHUNK_SIZE + "\r\n" + BODY + "\r\n0\r\n\r\n";
-        Stream<Shape> lengths =
-                shapes(
-                        "length",
-                        Stream.of(
-                                "Content-Length:" + n,
-                                "content-length: \t" + n + " \t",
-                                "CONTENT-LENGTH: 000" + n,
-                                "Content-Length: 0000000000000000000000" + n,
-                                "X-Note: without a length"),
-                        response(STATUS, "@@%%", BODY));
-        Stream<Shape> codings =
-                shapes(
-                        "transfer coding",
-                        Stream.of("chunked", "CHUNKED", "\t Chunked \t", "chunked ,", ", chunked"),
-                        response(STATUS, "@@transfer-encoding:%%", chunks));
-        return Stream.concat(lengths, codings);
-    }
-
-    private static Stream<Shape> soundChunks() {
-        Stream<Shape> sizes =
-                shapes(
-                        "chunk size",
-                        Stream.of(
-                                CHUNK_SIZE,
-                                CHUNK_SIZE.toUpperCase(Locale.ROOT),
-                                "0" + CHUNK_SIZE,
-                                "00000000000000000000000000" + CHUNK_SIZE,
-                                CHUNK_SIZE + ";a",
-                                CHUNK_SIZE + ";a=b;c",
-                                CHUNK_SIZE + " \t;\ta = b ;c",
-                                CHUNK_SIZE + ";a=\"\"",
-                                CHUNK_SIZE + ";a=\"b;c\\\"\\\\\t\u00ff\";d"),
-                        chunked("%%\r\n" + BODY + "\r\n0\r\n\r\n"));
-        Stream<Shape> ends =
-                shapes(
-                        "last chunk",
-                        Stream.of(
-                                "000\r\n\r\n",
-                                "0;a=b\r\n\r\n",
-                                "0\r\nX-Note: v\r\nX-Empty:\r\n\r\n",
-                                "0\r\nContent-Length: 5\r\n\r\n"),
-                        chunked(CHUNK_SIZE + "\r\n" + BODY + "\r\n%%"));
-        Shape parts =
-                shape("chunk", "of one octet", chunked("1\r\ni\r\n" + rest() + "0;\ta\r\n\r\n"));
-        return Stream.of(sizes, ends, Stream.of(parts)).flatMap(shapes -> shapes);
-    }
-
-    private static String rest() {
-        return Integer.toHexString(BODY.length() - 1) + "\r\n" + BODY.substring(1) + "\r\n";
-    }
 }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/EngineClientTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/generation/EngineClientTests.java
@@ -229,7 +229,7 @@
     }
 
     @ParameterizedTest
-    @MethodSource("io.sapphirestack.runtime.connection.ResponseShapes#soundResponses")
+    @MethodSource("io.sapphirestack.runtime.connection.SoundResponseShapes#all")
     void soundStreamOfUnusualLooksIsRead(ResponseShapes.Shape shape) throws Exception {
         script = (socket, out) -> write(out, shape.octets(""));
         try (EngineStream stream = attach()) {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/HttpPlainConnectorTests.java
@@ -355,7 +355,7 @@
     }
 
     @ParameterizedTest
-    @MethodSource("io.sapphirestack.runtime.connection.ResponseShapes#soundResponses")
+    @MethodSource("io.sapphirestack.runtime.connection.SoundResponseShapes#all")
     void soundResponseOfUnusualLooksIsRead(Shape shape) throws Exception {
         respond(shape);
         try (PlainConnection connection = open()) {
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
@@ -8,6 +8,7 @@
 
 import io.sapphirestack.runtime.connection.ResponseShapes;
 import io.sapphirestack.runtime.connection.ResponseShapes.Shape;
+import io.sapphirestack.runtime.connection.SoundResponseShapes;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
@@ -81,7 +82,7 @@
     }
 
     static Stream<Arguments> soundResponses() {
-        return onEachPath(ResponseShapes.soundResponses());
+        return onEachPath(SoundResponseShapes.all());
     }
 
     static Stream<Arguments> someInvalidHeads() {
