Tests of malformed responses: each request has its own sign that its connection was closed

Cause: the endpoint of one request could have counted its closed connection for the next one, which weakened that check; the server of the other test would have ended at a connection without a request. Change: the sign is taken before the response is written; a request without fields ends the connection only.

--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/MalformedServiceResponseTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/order/MalformedServiceResponseTests.java
@@ -26,6 +26,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -53,14 +54,10 @@
     private Server first;
     private Server second;
 
-    /** Plain service that sends one response on each connection. */
-    private interface Response {
-        String octets();
-    }
-
+    /** Plain service that sends one response on each connection and keeps the request lines. */
     private record Server(ServerSocket socket, List<String> requests) {
 
-        static Server start(Response response) throws IOException {
+        static Server start(Supplier<String> response) throws IOException {
             Server server =
                     new Server(
                             new ServerSocket(0, 50, InetAddress.getLoopbackAddress()),
@@ -71,7 +68,7 @@
             return server;
         }
 
-        private void accept(Response response) {
+        private void accept(Supplier<String> response) {
             while (!socket.isClosed()) {
                 try (Socket connection = socket.accept()) {
                     serve(connection, response);
@@ -82,23 +79,27 @@
             }
         }
 
-        private void serve(Socket connection, Response response) throws IOException {
+        private void serve(Socket connection, Supplier<String> response) throws IOException {
             BufferedReader in =
                     new BufferedReader(
                             new InputStreamReader(
                                     connection.getInputStream(), StandardCharsets.ISO_8859_1));
             requests.add(in.readLine());
-            while (!in.readLine().isEmpty()) {
-                // Fields of the request.
-                continue;
-            }
+            skipFields(in);
             connection
                     .getOutputStream()
-                    .write(response.octets().getBytes(StandardCharsets.ISO_8859_1));
+                    .write(response.get().getBytes(StandardCharsets.ISO_8859_1));
             connection.shutdownOutput();
             in.read(new char[1_024]);
         }
 
+        private static void skipFields(BufferedReader in) throws IOException {
+            String field = in.readLine();
+            while (field != null && !field.isEmpty()) {
+                field = in.readLine();
+            }
+        }
+
         EndpointState state(String id) {
             return OrderFixtures.endpoint(id, "127.0.0.1:" + socket.getLocalPort());
         }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
@@ -52,7 +52,7 @@
 
     @BeforeAll
     void start() throws Exception {
-        sharedEndpoint = endpoint(shape::get, () -> closed.get().countDown());
+        sharedEndpoint = endpoint(shape::get, closed::get);
         sharedRelay = new RelayTestBed(sharedEndpoint).withTrafficPlan();
     }
 
@@ -100,16 +100,17 @@
     }
 
     /** Creates an endpoint that ends its side of a connection after a response. */
-    private static ScriptedEndpoint endpoint(Supplier<Shape> shape, Runnable onClosed)
+    private static ScriptedEndpoint endpoint(Supplier<Shape> shape, Supplier<CountDownLatch> closed)
             throws Exception {
         return new ScriptedEndpoint(
                 "e1",
                 "z1",
                 (request, socket, out) -> {
+                    CountDownLatch closedNow = closed.get();
                     write(out, shape.get().octets(fields(request)));
                     socket.shutdownOutput();
                     if (isClosedByPeer(socket)) {
-                        onClosed.run();
+                        closedNow.countDown();
                     }
                 });
     }
@@ -149,7 +150,7 @@
     void requestWithAMalformedResponseIsRepeatedIfThatIsSafe(String path, Shape shape)
             throws Exception {
         boolean isRepeated = !path.equals("/order/");
-        try (ScriptedEndpoint endpoint = endpoint(() -> shape, () -> {});
+        try (ScriptedEndpoint endpoint = endpoint(() -> shape, () -> new CountDownLatch(1));
                 ScriptedEndpoint other = soundEndpoint("e2");
                 RelayTestBed testBed = new RelayTestBed(endpoint, other).withTrafficPlan()) {
             String response = testBed.call("POST", path, "x");
@@ -181,7 +182,7 @@
     @MethodSource("someInvalidChunks")
     void requestWithMalformedChunksIsRepeatedIfThatIsSafe(String path, Shape shape)
             throws Exception {
-        try (ScriptedEndpoint endpoint = endpoint(() -> shape, () -> {});
+        try (ScriptedEndpoint endpoint = endpoint(() -> shape, () -> new CountDownLatch(1));
                 ScriptedEndpoint other = soundEndpoint("e2");
                 RelayTestBed testBed = new RelayTestBed(endpoint, other).withTrafficPlan()) {
             String response = testBed.call("POST", path, "x");
