--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/relay/UpstreamConnection.java
@@ -31,6 +31,7 @@
 import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.TruncatedChunkException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
@@ -366,7 +367,8 @@
             return createException(
                     "receive", "the response is no HTTP: " + cause.getMessage(), cause);
         }
-        if (cause instanceof MalformedChunkCodingException) {
+        if (cause instanceof MalformedChunkCodingException
+                && !(cause instanceof TruncatedChunkException)) {
             // Its message may contain what the endpoint sent.
             return createException("receive", "the chunks of the response are no HTTP", cause);
         }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/MalformedResponseTests.java
@@ -12,10 +12,16 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -23,6 +29,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -301,6 +308,48 @@
         }
     }
 
+    /** The log names what is wrong, and contains nothing that the endpoint sent. */
+    @ParameterizedTest
+    @CsvSource({
+        "'X No: v\r\n\r\n', a line of the head is no field",
+        "'Content-Length: x\r\n\r\n', the length of the body is not a number",
+        "'Transfer-Encoding: chunked\r\n\r\n+1\r\nx', the chunks of the response are no HTTP",
+        "'Transfer-Encoding: chunked\r\n\r\n5\r\nx', the connection failed within the body"
+    })
+    void logTellsWhatIsWrongWithAResponse(String rest, String expected) throws Exception {
+        Logger logger = Logger.getLogger(PlainRelay.class.getName());
+        List<String> messages = new CopyOnWriteArrayList<>();
+        Handler handler = handlerOf(messages::add);
+        logger.addHandler(handler);
+        try {
+            call("/order/", new Shape("logged", "HTTP/1.1 200 OK\r\n@@" + rest));
+        } finally {
+            logger.removeHandler(handler);
+        }
+        assertThat(messages)
+                .anyMatch(message -> message.contains("SAP1910") && message.contains(expected))
+                .noneMatch(message -> message.contains(TELLTALE));
+    }
+
+    private static Handler handlerOf(Consumer<String> messages) {
+        return new Handler() {
+            @Override
+            public void publish(LogRecord record) {
+                messages.accept(record.getMessage());
+            }
+
+            @Override
+            public void flush() {
+                // Nothing is buffered.
+            }
+
+            @Override
+            public void close() {
+                // There is no resource to release.
+            }
+        };
+    }
+
     /** The rules reject nothing that HTTP allows. */
     @ParameterizedTest(name = "{0} {1}")
     @MethodSource("soundResponses")
