An empty list of tenants knows no key; only a missing one asks for none

Cause: the decoder returned an empty list for a missing and for an empty field, and the plan derived from the emptiness whether requests need a key.

Change: a plan states how callers authenticate, by a type without a value that could mean both. A null is rejected when it is submitted; in a stored text it stays what earlier releases took it for.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
@@ -22,7 +22,7 @@
     private final Map<String, String> prefixOctets;
     private final Map<String, List<TrafficRoute>> routesByService;
     private final Map<String, RelayedAccount> accountsByKey;
-    private final boolean hasAccounts;
+    private final CallerAuthentication authentication;
     private final Map<String, List<Integer>> streamPriorities;
 
     /**
@@ -31,7 +31,7 @@
      * @param version version number set by the operator, positive
      * @param routes routes; no two may share a host and a path prefix
      * @param services services that the routes refer to, with unique names
-     * @param accounts client accounts; if empty, requests need no key
+     * @param authentication how callers authenticate, with the client accounts
      * @param limits limits on requests and connections of callers
      * @throws TrafficPlanException if a value is invalid or the parts contradict each other
      */
@@ -39,7 +39,7 @@
             long version,
             List<TrafficRoute> routes,
             List<RelayedService> services,
-            List<RelayedAccount> accounts,
+            CallerAuthentication authentication,
             CallerLimits limits)
             throws TrafficPlanException {
         check(version > 0, "version must be positive");
@@ -49,8 +49,8 @@
         this.routesByHost = indexRoutes(routes);
         this.prefixOctets = indexPrefixOctets(routes);
         this.routesByService = indexByService(routes);
-        this.accountsByKey = indexAccounts(accounts);
-        this.hasAccounts = !accounts.isEmpty();
+        this.accountsByKey = indexAccounts(authentication.accounts());
+        this.authentication = authentication;
         this.streamPriorities =
                 routesByService.keySet().stream()
                         .collect(
@@ -166,7 +166,7 @@
         Set<Integer> priorities = new TreeSet<>();
         accountsByKey.values().forEach(account -> account.priority().ifPresent(priorities::add));
         boolean usesRoutes =
-                !hasAccounts
+                !needsKeys()
                         || streams.stream().anyMatch(TrafficRoute::isOpen)
                         || accountsByKey.values().stream().anyMatch(a -> a.priority().isEmpty());
         if (usesRoutes) {
@@ -177,7 +177,7 @@
 
     /** Returns whether requests need a key on routes that are not open. */
     public boolean needsKeys() {
-        return hasAccounts;
+        return authentication.needsKeys();
     }
 
     /**
--- a/sapphire-core/src/test/java/io/sapphirestack/core/admission/StreamUrgencyTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/admission/StreamUrgencyTests.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sapphirestack.core.relay.CallerAuthentication;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.RelayedAccount;
 import io.sapphirestack.core.relay.RelayedService;
@@ -49,7 +50,8 @@
     private static TrafficPlan plan(List<TrafficRoute> routes) throws TrafficPlanException {
         List<RelayedService> services =
                 List.of(new RelayedService(SERVICE, true), new RelayedService("other", false));
-        return new TrafficPlan(1, routes, services, List.of(), CallerLimits.DEFAULT);
+        return new TrafficPlan(
+                1, routes, services, CallerAuthentication.none(), CallerLimits.DEFAULT);
     }
 
     private static OptionalInt urgency(List<TrafficRoute> routes, int index)
@@ -86,7 +88,7 @@
                         1,
                         routes.stream().map(StreamUrgencyTests::withKey).toList(),
                         List.of(new RelayedService(SERVICE, true)),
-                        accounts,
+                        CallerAuthentication.byKeysOf(accounts),
                         CallerLimits.DEFAULT);
         assertThat(plan.streamPriorities(SERVICE)).containsExactly(1, 3);
         assertThat(StreamUrgency.of(plan, SERVICE, 1)).hasValue(3);
--- a/sapphire-core/src/test/java/io/sapphirestack/core/relay/TrafficPlanTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/relay/TrafficPlanTests.java
@@ -51,7 +51,7 @@
                         1,
                         List.of(route("/x/", 10, to("a", 1)), route("/x/y/", 10, to("b", 1))),
                         SERVICES,
-                        List.of(),
+                        CallerAuthentication.none(),
                         CallerLimits.DEFAULT);
         assertThat(plan.route("Shop.example:80", path).map(TrafficRoute::pathPrefix).orElse("none"))
                 .isEqualTo(prefix);
@@ -73,7 +73,13 @@
     @MethodSource("contradictoryRoutes")
     void contradictoryRoutesAreRejected(List<TrafficRoute> routes) {
         assertThatThrownBy(
-                        () -> new TrafficPlan(1, routes, SERVICES, List.of(), CallerLimits.DEFAULT))
+                        () ->
+                                new TrafficPlan(
+                                        1,
+                                        routes,
+                                        SERVICES,
+                                        CallerAuthentication.none(),
+                                        CallerLimits.DEFAULT))
                 .isInstanceOf(TrafficPlanException.class);
     }
 
@@ -86,7 +92,11 @@
         assertThatThrownBy(
                         () ->
                                 new TrafficPlan(
-                                        1, List.of(), SERVICES, accounts, CallerLimits.DEFAULT))
+                                        1,
+                                        List.of(),
+                                        SERVICES,
+                                        CallerAuthentication.byKeysOf(accounts),
+                                        CallerLimits.DEFAULT))
                 .isInstanceOf(TrafficPlanException.class)
                 .hasMessageContaining("two");
     }
@@ -98,7 +108,8 @@
                         1,
                         List.of(),
                         SERVICES,
-                        List.of(new RelayedAccount("one", List.of("k1"))),
+                        CallerAuthentication.byKeysOf(
+                                List.of(new RelayedAccount("one", List.of("k1")))),
                         CallerLimits.DEFAULT);
         assertThat(plan.needsKeys()).isTrue();
         assertThat(plan.account("k1").map(RelayedAccount::name)).isEqualTo(Optional.of("one"));
@@ -149,7 +160,8 @@
                                         1,
                                         List.of(),
                                         SERVICES,
-                                        List.of(new RelayedAccount("one", List.of(key))),
+                                        CallerAuthentication.byKeysOf(
+                                                List.of(new RelayedAccount("one", List.of(key)))),
                                         CallerLimits.DEFAULT))
                 .isInstanceOf(TrafficPlanException.class);
     }
@@ -160,9 +172,10 @@
                 1,
                 List.of(),
                 SERVICES,
-                List.of(
-                        new RelayedAccount(firstAccount, List.of("k1")),
-                        new RelayedAccount(secondAccount, List.of("k2"))),
+                CallerAuthentication.byKeysOf(
+                        List.of(
+                                new RelayedAccount(firstAccount, List.of("k1")),
+                                new RelayedAccount(secondAccount, List.of("k2")))),
                 CallerLimits.DEFAULT);
     }
 
@@ -186,7 +199,7 @@
                         1,
                         List.of(route("/k\u025bse/", 10, to("a", 1))),
                         SERVICES,
-                        List.of(),
+                        CallerAuthentication.none(),
                         CallerLimits.DEFAULT);
 
         assertThat(plan.route("shop.example", path).isPresent()).isEqualTo(matches);
@@ -200,7 +213,7 @@
                                         1,
                                         List.of(route("/\ud800/", 10, to("a", 1))),
                                         SERVICES,
-                                        List.of(),
+                                        CallerAuthentication.none(),
                                         CallerLimits.DEFAULT))
                 .isInstanceOf(TrafficPlanException.class);
     }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
@@ -34,6 +34,16 @@
     private final Decoder decoder;
     private volatile Decoded decoded = new Decoded(0, Optional.empty());
 
+    /** Where the text of a traffic plan comes from. */
+    public enum Origin {
+
+        /** An operator submits it; what is ambiguous is rejected. */
+        SUBMITTED,
+
+        /** The control log holds it, maybe from an earlier release; it is read as it was then. */
+        STORED
+    }
+
     /** Parses the text of a traffic plan. */
     @FunctionalInterface
     public interface Decoder {
@@ -42,10 +52,11 @@
          * Parses a plan.
          *
          * @param text text as the operator sent it
+         * @param origin where the text comes from
          * @return validated plan
          * @throws TrafficPlanException if the text is not a valid plan
          */
-        TrafficPlan decode(String text) throws TrafficPlanException;
+        TrafficPlan decode(String text, Origin origin) throws TrafficPlanException;
     }
 
     private record Decoded(long revision, Optional<TrafficPlan> plan) {}
@@ -88,7 +99,7 @@
         }
         Optional<TrafficPlan> plan = decoded.plan();
         try {
-            plan = Optional.of(decoder.decode(textOf(record)));
+            plan = Optional.of(decoder.decode(textOf(record), Origin.STORED));
             LOG.info(
                     "SAP1920",
                     "A traffic plan takes effect",
@@ -114,7 +125,7 @@
      * @throws TrafficPlanException if the text is not a valid plan
      */
     public CompletableFuture<Void> submit(String text, long timeoutMs) throws TrafficPlanException {
-        TrafficPlan plan = decoder.decode(text);
+        TrafficPlan plan = decoder.decode(text, Origin.SUBMITTED);
         CompletableFuture<Void> done = new CompletableFuture<>();
         // A read that fails decides nothing; the result is then that of the submission.
         reader.readRecord(RECORD_KEY, timeoutMs)
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/RolloutServiceTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/RolloutServiceTests.java
@@ -11,6 +11,7 @@
 import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.record.RolloutState;
+import io.sapphirestack.core.relay.CallerAuthentication;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.RelayedService;
 import io.sapphirestack.core.relay.TrafficPlan;
@@ -48,7 +49,7 @@
                         1,
                         List.of(),
                         List.of(new RelayedService("my service", true)),
-                        List.of(),
+                        CallerAuthentication.none(),
                         CallerLimits.DEFAULT);
         return new RolloutService(records, () -> Optional.of(plan), () -> nowMs)
                 .start(order, 100)
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/TrafficPlanStoreTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/TrafficPlanStoreTests.java
@@ -10,6 +10,7 @@
 import io.sapphirestack.core.control.ControlView;
 import io.sapphirestack.core.control.FleetStatus;
 import io.sapphirestack.core.record.ConfigRecord;
+import io.sapphirestack.core.relay.CallerAuthentication;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.runtime.control.ControlClient;
@@ -38,12 +39,12 @@
                         (key, timeoutMs) ->
                                 CompletableFuture.completedFuture(Optional.of(stored())),
                         () -> ControlView.EMPTY,
-                        text ->
+                        (text, origin) ->
                                 new TrafficPlan(
                                         Long.parseLong(text),
                                         List.of(),
                                         List.of(),
-                                        List.of(),
+                                        CallerAuthentication.none(),
                                         CallerLimits.DEFAULT));
 
         CompletableFuture<Void> result = store.submit(Long.toString(version), TIMEOUT_MS);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/RelayTestBed.java
@@ -10,6 +10,7 @@
 import io.sapphirestack.core.quarantine.PromptQuarantine;
 import io.sapphirestack.core.quarantine.RequestQuarantine;
 import io.sapphirestack.core.record.RolloutSpec;
+import io.sapphirestack.core.relay.CallerAuthentication;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.CompletionEstimator;
 import io.sapphirestack.core.relay.EndpointHealth;
@@ -173,7 +174,7 @@
                                 1,
                                 List.of(route("/read/", RequestKind.IDEMPOTENT, 1, 2)),
                                 List.of(new RelayedService("scribe", true)),
-                                List.of(accounts),
+                                CallerAuthentication.byKeysOf(List.of(accounts)),
                                 CallerLimits.DEFAULT)));
         return this;
     }
@@ -191,7 +192,8 @@
                                 1,
                                 List.of(routes),
                                 List.of(service),
-                                List.of(new RelayedAccount("shop", List.of("k1"))),
+                                CallerAuthentication.byKeysOf(
+                                        List.of(new RelayedAccount("shop", List.of("k1")))),
                                 CallerLimits.DEFAULT)));
         return this;
     }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/relay/TrafficRelayTests.java
@@ -233,6 +233,25 @@
         }
     }
 
+    /**
+     * Guards against requests that ran with any key once the last account was removed (review/13).
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Sapphire-Key: k1\r\n", "Sapphire-Key: k2\r\n"})
+    void noKeyIsKnownWhenThePlanHasNoAccountsLeft(String keyField) throws Exception {
+        try (ScriptedEndpoint endpoint = respondingEndpoint("e1", "ok");
+                RelayTestBed testBed = new RelayTestBed(endpoint).withAccounts()) {
+            String response =
+                    testBed.call(
+                            "GET /read/1 HTTP/1.1\r\nHost: h\r\nSapphire-Request-Id: r1\r\n"
+                                    + "Connection: close\r\n"
+                                    + keyField
+                                    + "\r\n");
+            assertThat(status(response)).isEqualTo(401);
+            assertThat(endpoint.received()).isEmpty();
+        }
+    }
+
     @Test
     void instanceWithoutAPlanRefusesRequestsAsNotRun() throws Exception {
         try (RelayTestBed testBed = new RelayTestBed()) {
