Log when a large message between instances was sent, or lost with its connection

SAP1105 and SAP1106 name type, peer, bytes, written bytes and time since queued of each message of 16 KiB or more; smaller ones cost nothing.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/InboundChannel.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/InboundChannel.java
@@ -51,7 +51,7 @@
         InboundChannel channel =
                 new InboundChannel(loop, socket, peer, handshake, handlers, afterClose);
         channel.register(SelectionKey.OP_READ);
-        channel.send(new OutgoingFrame(handshake.hello(channel.serverNonce)));
+        channel.send(new OutgoingFrame(handshake.hello(channel.serverNonce), "Handshake"));
         loop.schedule(
                 loop.nowMs() + OutboundChannel.CONNECT_TIMEOUT_MS, channel::checkAuthenticated);
         loop.schedule(loop.nowMs() + IDLE_CLOSE_MS, channel::checkIdle);
@@ -87,7 +87,7 @@
             byte[] clientNonce = handshake.verifyClientProof(payload, serverNonce, peer());
             authenticated = true;
             raiseFrameLimit();
-            send(new OutgoingFrame(handshake.serverProof(serverNonce, clientNonce)));
+            send(new OutgoingFrame(handshake.serverProof(serverNonce, clientNonce), "Handshake"));
             return;
         }
         PeerFrame frame = PeerCodec.decodeFrame(payload, peer());
@@ -110,7 +110,9 @@
                 .whenComplete(
                         (reply, failure) -> {
                             byte[] replyFrame = encodeReply(frame, reply, failure);
-                            loop().execute(() -> sendReply(frame, replyFrame));
+                            String type =
+                                    reply == null ? "Error" : reply.getClass().getSimpleName();
+                            loop().execute(() -> sendReply(frame, replyFrame, type));
                         });
     }
 
@@ -156,9 +158,9 @@
         return message.length() <= 1_000 ? message : message.substring(0, 1_000);
     }
 
-    private void sendReply(PeerFrame frame, byte[] replyFrame) {
+    private void sendReply(PeerFrame frame, byte[] replyFrame, String type) {
         requestBytesInProgress -= frame.body().length;
-        send(new OutgoingFrame(replyFrame));
+        send(new OutgoingFrame(replyFrame, type));
         pauseOrResumeReading();
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/OutboundChannel.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/OutboundChannel.java
@@ -156,7 +156,7 @@
             onReply(PeerCodec.decodeFrame(payload, peer()));
         } else if (serverNonce == null) {
             serverNonce = handshake.readHello(payload, peer());
-            send(new OutgoingFrame(handshake.clientProof(serverNonce, clientNonce)));
+            send(new OutgoingFrame(handshake.clientProof(serverNonce, clientNonce), "Handshake"));
         } else {
             handshake.verifyServerProof(payload, serverNonce, clientNonce, peer());
             authenticated = true;
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.transport;
 
+import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.EOFException;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
@@ -17,6 +18,11 @@
  */
 abstract class PeerChannel implements PeerEventLoop.ChannelEventHandler {
 
+    /** Size from which the end of a message is logged, in bytes. */
+    static final int LARGE_MESSAGE_BYTES = 16 * 1024;
+
+    private static final EventLog LOG = EventLog.of(PeerChannel.class);
+
     private final PeerEventLoop loop;
     private final String peer;
     private final SocketChannel channel;
@@ -40,10 +46,23 @@
     /** Frame to be written, with the number of bytes that are already written. */
     static final class OutgoingFrame {
         private final byte[] bytes;
+        private final String type;
         private int writtenBytes;
+        private long queuedAtMs;
 
-        OutgoingFrame(byte[] bytes) {
+        /**
+         * Creates a frame.
+         *
+         * @param bytes frame with its length field
+         * @param type name of the message type, for logs
+         */
+        OutgoingFrame(byte[] bytes, String type) {
             this.bytes = bytes;
+            this.type = type;
+        }
+
+        boolean isLarge() {
+            return bytes.length >= LARGE_MESSAGE_BYTES;
         }
 
         boolean isWriteStarted() {
@@ -91,6 +110,7 @@
         if (closed) {
             return;
         }
+        frame.queuedAtMs = loop.nowMs();
         outgoing.add(frame);
         outgoingBytes += frame.bytes.length;
         loop.flushLater(this);
@@ -190,10 +210,33 @@
             outgoingBytes -= part;
             if (frame.writtenBytes == frame.bytes.length) {
                 outgoing.remove();
+                logSent(frame);
             }
         }
     }
 
+    private void logSent(OutgoingFrame frame) {
+        if (frame.isLarge()) {
+            LOG.info("SAP1105", "A large message was sent", describe(frame));
+        }
+    }
+
+    private void logLost(OutgoingFrame frame) {
+        if (frame.isLarge()) {
+            LOG.info("SAP1106", "A large message was lost with its connection", describe(frame));
+        }
+    }
+
+    private Object[] describe(OutgoingFrame frame) {
+        return new Object[] {
+            "peer", peer,
+            "type", frame.type,
+            "bytes", frame.bytes.length,
+            "writtenBytes", frame.writtenBytes,
+            "durationMs", loop.nowMs() - frame.queuedAtMs
+        };
+    }
+
     private void updateInterestOps() {
         if (key != null && key.isValid() && channel.isConnected()) {
             key.interestOps(
@@ -216,6 +259,7 @@
         } catch (IOException e) {
             // The connection is closed in any case, and its calls fail with the original cause.
         }
+        outgoing.forEach(this::logLost);
         onClosed(cause);
     }
 
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/TcpPeerTransport.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/TcpPeerTransport.java
@@ -68,7 +68,8 @@
             OutboundChannel.PendingCall<R> call =
                     new OutboundChannel.PendingCall<>(
                             requestId,
-                            new PeerChannel.OutgoingFrame(frame),
+                            new PeerChannel.OutgoingFrame(
+                                    frame, request.getClass().getSimpleName()),
                             replyType(message),
                             result);
             loop.execute(() -> send(address, call, timeoutMs));
