A configuration is compressed once and stays so in the log and on all links

Text that earlier releases stored stays readable. An instance of an earlier release ignores what it can't decode (SAP1921) and keeps its last plan until it is replaced.

--- /dev/null
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/RecordContent.java
@@ -0,0 +1,85 @@
+package io.sapphirestack.core.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.BinaryNode;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+/**
+ * Text that is stored as the content of a record written by {@link ControlCommand.PutNewest}. It is
+ * compressed once (gzip, RFC 1952), by the instance that submits it, and stays so in the log, in
+ * snapshots, in views and on all links between instances.
+ */
+public final class RecordContent {
+
+    /** Maximum size of a text, in bytes of its UTF-8 form. */
+    public static final int MAX_TEXT_BYTES = 64 * 1024 * 1024;
+
+    private RecordContent() {}
+
+    /**
+     * Encodes a text.
+     *
+     * @param text text of at most {@link #MAX_TEXT_BYTES}
+     * @return content of a record
+     * @throws IllegalArgumentException if the text is longer
+     */
+    public static JsonNode encode(String text) {
+        byte[] octets = text.getBytes(StandardCharsets.UTF_8);
+        if (octets.length > MAX_TEXT_BYTES) {
+            throw new IllegalArgumentException(
+                    "a text has at most " + MAX_TEXT_BYTES + " bytes but this " + octets.length);
+        }
+        ByteArrayOutputStream compressed = new ByteArrayOutputStream();
+        try (GZIPOutputStream out = new GZIPOutputStream(compressed)) {
+            out.write(octets);
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot write to memory", e);
+        }
+        return BinaryNode.valueOf(compressed.toByteArray());
+    }
+
+    /**
+     * Decodes a text. Earlier releases stored it as it is, in a string; such content stays
+     * readable.
+     *
+     * @param content content of a record
+     * @return the text
+     * @throws IOException if the content is neither a string nor a compressed text, is damaged or
+     *     exceeds {@link #MAX_TEXT_BYTES}
+     */
+    public static String decode(JsonNode content) throws IOException {
+        if (content.isTextual()) {
+            return content.textValue();
+        }
+        if (!content.isBinary()) {
+            throw new IOException("the content of the record is " + content.getNodeType());
+        }
+        try (GZIPInputStream in =
+                new GZIPInputStream(new ByteArrayInputStream(content.binaryValue()))) {
+            byte[] octets = in.readNBytes(MAX_TEXT_BYTES + 1);
+            if (octets.length > MAX_TEXT_BYTES) {
+                throw new IOException("the text has more than " + MAX_TEXT_BYTES + " bytes");
+            }
+            return new String(octets, StandardCharsets.UTF_8);
+        }
+    }
+
+    /**
+     * Returns the size of a content as it is stored and sent.
+     *
+     * @param content content of a record
+     * @return size in bytes; 0 if it is neither a string nor compressed
+     */
+    public static int sizeBytes(JsonNode content) {
+        if (content instanceof BinaryNode binary) {
+            return binary.binaryValue().length;
+        }
+        return content.isTextual() ? content.textValue().length() : 0;
+    }
+}
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
@@ -1,10 +1,10 @@
 package io.sapphirestack.daemon.relay;
 
-import com.fasterxml.jackson.databind.node.TextNode;
 import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.control.ControlResult;
 import io.sapphirestack.core.control.ControlState;
 import io.sapphirestack.core.control.ControlView;
+import io.sapphirestack.core.control.RecordContent;
 import io.sapphirestack.core.record.ConfigRecord;
 import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.core.relay.TrafficPlan;
@@ -12,6 +12,8 @@
 import io.sapphirestack.runtime.control.ControlClient;
 import io.sapphirestack.runtime.control.RecordReader;
 import io.sapphirestack.runtime.metrics.EventLog;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -107,7 +109,7 @@
                     plan.get().version(),
                     "revision",
                     record.revision());
-        } catch (TrafficPlanException e) {
+        } catch (TrafficPlanException | IOException e) {
             LOG.error("SAP1921", e, "A stored traffic plan is invalid and is ignored");
         }
         decoded = new Decoded(record.revision(), plan);
@@ -138,7 +140,7 @@
                         });
         control.submit(
                         new ControlCommand.PutNewest(
-                                "operator", RECORD_KEY, plan.version(), TextNode.valueOf(text)),
+                                "operator", RECORD_KEY, plan.version(), RecordContent.encode(text)),
                         timeoutMs)
                 .whenComplete((result, failure) -> onSubmitted(plan, result, failure, done));
         return done;
@@ -172,14 +174,22 @@
      */
     public CompletableFuture<Optional<String>> readNewest(long timeoutMs) {
         return reader.readRecord(RECORD_KEY, timeoutMs)
-                .thenApply(record -> record.map(TrafficPlanStore::textOf));
+                .thenApply(record -> record.map(TrafficPlanStore::readText));
     }
 
     private static long versionOf(ConfigRecord record) {
         return record.body().path(ControlState.NUMBER_FIELD).asLong();
     }
 
-    private static String textOf(ConfigRecord record) {
-        return record.body().path(ControlState.CONTENT_FIELD).asText();
+    private static String textOf(ConfigRecord record) throws IOException {
+        return RecordContent.decode(record.body().path(ControlState.CONTENT_FIELD));
+    }
+
+    private static String readText(ConfigRecord record) {
+        try {
+            return textOf(record);
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot read the stored traffic plan", e);
+        }
     }
 }
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/VoterRestartTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/VoterRestartTests.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.node.TextNode;
 import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.control.ControlState;
+import io.sapphirestack.core.control.RecordContent;
 import io.sapphirestack.core.id.AccountId;
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
@@ -125,6 +127,37 @@
         submit();
     }
 
+    /** A large text is the same after it was replicated, written, and read by restarted voters. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void textIsReadBackUnchangedAfterARestart(boolean isCompressed) throws Exception {
+        RecordKey key = new RecordKey("traffic-plan", "current");
+        String text = "{\"tenants\":[],\"name\":\"k\u025bse\",\"other\":null}".repeat(10_000);
+        for (String address : VOTERS) {
+            startVoter(address, Fault.NONE);
+        }
+        submit();
+        client.submit(
+                        new ControlCommand.PutNewest(
+                                "operator",
+                                key,
+                                7,
+                                isCompressed ? RecordContent.encode(text) : TextNode.valueOf(text)),
+                        TIMEOUT_MS)
+                .get(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        for (String address : VOTERS) {
+            failUntilRaised(address, Fault.NO_SPACE);
+            awaitRunningVoter(address);
+        }
+
+        ConfigRecord record =
+                client.readRecord(key, TIMEOUT_MS)
+                        .get(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                        .orElseThrow();
+        assertThat(RecordContent.decode(record.body().path(ControlState.CONTENT_FIELD)))
+                .isEqualTo(text);
+    }
+
     /**
      * Reads must not depend on the disks: an operator reads the configuration from a busy fleet.
      */
