--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/LeaderState.java
@@ -109,7 +109,7 @@
             broadcastHeartbeat();
         }
         for (PeerProgress peer : peers.values()) {
-            if (peer.inFlight && now - peer.inFlightSinceMs >= 2 * state.settings.heartbeatMs()) {
+            if (peer.isOverdue(now, 2 * state.settings.heartbeatMs())) {
                 peer.inFlight = false;
             }
         }
@@ -331,7 +331,8 @@
                         entries,
                         state.commitIndex(),
                         round));
-        peer.markInFlight(state.clock.nowMs());
+        peer.markInFlight(
+                state.clock.nowMs(), entries.stream().mapToLong(ReplicationEntry::sizeBytes).sum());
     }
 
     private void sendSnapshotChunk(PeerProgress peer) {
@@ -347,7 +348,7 @@
                 peer,
                 new SnapshotChunk(
                         state.term(), meta, from, data.length, Arrays.copyOfRange(data, from, to)));
-        peer.markInFlight(state.clock.nowMs());
+        peer.markInFlight(state.clock.nowMs(), to - from);
     }
 
     private void continueTransfer() {
--- a/sapphire-core/src/main/java/io/sapphirestack/core/replication/PeerProgress.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/replication/PeerProgress.java
@@ -1,5 +1,7 @@
 package io.sapphirestack.core.replication;
 
+import io.sapphirestack.core.time.TransferTime;
+
 /** Replication progress of one peer as tracked by the leader. Not thread-safe. */
 final class PeerProgress {
 
@@ -24,7 +26,10 @@
     /** Whether entries or a snapshot chunk were sent and not acknowledged yet. */
     boolean inFlight;
 
-    long inFlightSinceMs;
+    private long inFlightSinceMs;
+
+    /** Size of what was sent and not acknowledged yet, in bytes. */
+    private long inFlightBytes;
 
     /** Index of the snapshot that is being sent, 0 for none. */
     long snapshotIndex;
@@ -40,8 +45,20 @@
         this.lastRequestMs = nowMs;
     }
 
-    void markInFlight(long nowMs) {
+    void markInFlight(long nowMs, long bytes) {
         inFlight = true;
         inFlightSinceMs = nowMs;
+        inFlightBytes = bytes;
+    }
+
+    /**
+     * Returns whether what was sent must be taken for lost.
+     *
+     * @param nowMs current time on the monotonic clock, in milliseconds
+     * @param replyTimeoutMs timeout of the reply to a small message, in milliseconds
+     */
+    boolean isOverdue(long nowMs, long replyTimeoutMs) {
+        return inFlight
+                && nowMs - inFlightSinceMs >= replyTimeoutMs + TransferTime.maxMs(inFlightBytes);
     }
 }
--- a/sapphire-core/src/test/java/io/sapphirestack/core/replication/ReplicationNodeTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/replication/ReplicationNodeTests.java
@@ -7,6 +7,7 @@
 import io.sapphirestack.core.replication.ReplicationMessage.FormationReply;
 import io.sapphirestack.core.replication.ReplicationMessage.VoteReply;
 import io.sapphirestack.core.replication.ReplicationMessage.VoteRequest;
+import io.sapphirestack.core.time.TransferTime;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,8 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests single decisions of a node in situations that random runs reach only rarely. */
 class ReplicationNodeTests {
@@ -172,6 +175,56 @@
         assertThat(node.commitIndex()).isEqualTo(index);
     }
 
+    /**
+     * Guards against sending a large entry again while its first copy is still on the link: the
+     * copies filled the links of the voters (review/6). A lost entry is still sent again.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 50_000, 800_000, 4_000_000})
+    void entryIsSentAgainOnlyAfterItsTransferCanHaveEnded(int bytes) {
+        ReplicationNode node = leader(1);
+        node.receive(from("B", "b:1", "A", new AppendReply(node.term(), true, 2, 1)));
+        node.propose(new byte[bytes]);
+        node.drainMessages();
+        long transferMs = TransferTime.maxMs(bytes);
+
+        int sent = 0;
+        for (long waitedMs = 0; waitedMs < transferMs + 150; waitedMs += 50) {
+            nowMs.addAndGet(50);
+            sent += entriesSentTo(node, "B");
+        }
+        assertThat(sent).isZero();
+
+        nowMs.addAndGet(100);
+        assertThat(entriesSentTo(node, "B")).isEqualTo(1);
+    }
+
+    /** Lets voter B acknowledge the heartbeats only, and counts the entries sent to a voter. */
+    private static int entriesSentTo(ReplicationNode node, String voter) {
+        node.tick();
+        List<VoterMessage> messages = node.drainMessages();
+        messages.stream()
+                .map(VoterMessage::message)
+                .filter(AppendRequest.class::isInstance)
+                .mapToLong(message -> ((AppendRequest) message).round())
+                .max()
+                .ifPresent(
+                        last ->
+                                node.receive(
+                                        from(
+                                                "B",
+                                                "b:1",
+                                                "A",
+                                                new AppendReply(node.term(), true, 2, last))));
+        return (int)
+                messages.stream()
+                        .filter(message -> message.toVoter().equals(voter))
+                        .map(VoterMessage::message)
+                        .filter(AppendRequest.class::isInstance)
+                        .filter(message -> !((AppendRequest) message).entries().isEmpty())
+                        .count();
+    }
+
     @Test
     void delayedSnapshotDoesNotDiscardAcknowledgedEntries() {
         ReplicationNode node = node(stored("B", "K", 1, 5));
