An order or a read of a plan moves its text between instances at most once

Change: the comparison reads the number only; the timeouts of an order follow its size; a read confirms the number with the leader and sends the text that the instance holds, if it is that one.

Test: TrafficPlanStoreTests.textIsReadFromAnotherInstanceOnlyIfItIsNewerThan- TheHeldOne; before, the reader was called in all five cases.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/RecordContent.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/RecordContent.java
@@ -2,11 +2,16 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.BinaryNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sapphirestack.core.record.ConfigRecord;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
 
@@ -70,6 +75,32 @@
         }
     }
 
+    /**
+     * Returns the number of a record.
+     *
+     * @param record record, empty if there is none
+     * @return version number that its writer assigned; empty without a record
+     */
+    public static OptionalLong numberOf(Optional<ConfigRecord> record) {
+        return record.map(
+                        found ->
+                                OptionalLong.of(
+                                        found.body().path(ControlState.NUMBER_FIELD).asLong()))
+                .orElse(OptionalLong.empty());
+    }
+
+    /**
+     * Returns a record without its content, with its number only.
+     *
+     * @param record record written by {@link ControlCommand.PutNewest}
+     * @return copy of the record
+     */
+    public static ConfigRecord withoutContent(ConfigRecord record) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.set(ControlState.NUMBER_FIELD, record.body().path(ControlState.NUMBER_FIELD));
+        return record.withBody(body);
+    }
+
     /**
      * Returns the size of a content as it is stored and sent.
      *
--- a/sapphire-core/src/main/java/io/sapphirestack/core/record/ConfigRecord.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/record/ConfigRecord.java
@@ -32,4 +32,15 @@
             throw new IllegalArgumentException("schemaVersion and minimumReader must be positive");
         }
     }
+
+    /**
+     * Returns this record with another body.
+     *
+     * @param other content; must not be modified
+     * @return copy of the record
+     */
+    public ConfigRecord withBody(JsonNode other) {
+        return new ConfigRecord(
+                key, schemaVersion, minimumReader, revision, changeId, operator, other);
+    }
 }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -170,7 +170,8 @@
             endpointRegistry.holdUntilFirstExchange(EndpointRegistry.MAX_HOLD_MS);
         }
         this.trafficPlans =
-                new TrafficPlanStore(control, control, blackboard.control()::read, decoder);
+                new TrafficPlanStore(
+                        control, control, control, blackboard.control()::read, decoder);
         this.rollouts =
                 new RolloutAssembly(
                         control,
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
@@ -10,6 +10,7 @@
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.core.relay.TrafficPlanException;
 import io.sapphirestack.runtime.control.ControlClient;
+import io.sapphirestack.runtime.control.RecordNumberReader;
 import io.sapphirestack.runtime.control.RecordReader;
 import io.sapphirestack.runtime.metrics.EventLog;
 import java.io.IOException;
@@ -32,6 +33,7 @@
 
     private final ControlClient control;
     private final RecordReader reader;
+    private final RecordNumberReader numbers;
     private final Supplier<ControlView> view;
     private final Decoder decoder;
     private volatile Decoded decoded = new Decoded(0, Optional.empty());
@@ -68,16 +70,19 @@
      *
      * @param control client that submits plans to the control log
      * @param reader reads the stored plan
+     * @param numbers reads the version of the stored plan
      * @param view returns the control state that this instance has applied
      * @param decoder parses the text of plans
      */
     public TrafficPlanStore(
             ControlClient control,
             RecordReader reader,
+            RecordNumberReader numbers,
             Supplier<ControlView> view,
             Decoder decoder) {
         this.control = Objects.requireNonNull(control, "control");
         this.reader = Objects.requireNonNull(reader, "reader");
+        this.numbers = Objects.requireNonNull(numbers, "numbers");
         this.view = Objects.requireNonNull(view, "view");
         this.decoder = Objects.requireNonNull(decoder, "decoder");
     }
@@ -130,11 +135,10 @@
         TrafficPlan plan = decoder.decode(text, Origin.SUBMITTED);
         CompletableFuture<Void> done = new CompletableFuture<>();
         // A read that fails decides nothing; the result is then that of the submission.
-        reader.readRecord(RECORD_KEY, timeoutMs)
+        numbers.readNumber(RECORD_KEY, timeoutMs)
                 .thenAccept(
-                        record -> {
-                            if (record.map(TrafficPlanStore::versionOf).orElse(0L)
-                                    >= plan.version()) {
+                        stored -> {
+                            if (stored.orElse(0) >= plan.version()) {
                                 done.complete(null);
                             }
                         });
@@ -166,21 +170,27 @@
     }
 
     /**
-     * Reads the newest plan by a linearizable read.
+     * Reads the newest plan by a linearizable read. The text is sent by another instance only if
+     * this one does not hold it yet.
      *
      * @param timeoutMs time after which the call fails, in milliseconds
      * @return text as the operator sent it, empty if there is none; fails if the newest plan cannot
      *     be confirmed
      */
     public CompletableFuture<Optional<String>> readNewest(long timeoutMs) {
-        return reader.readRecord(RECORD_KEY, timeoutMs)
+        return numbers.readNumber(RECORD_KEY, timeoutMs)
+                .thenCompose(
+                        newest -> {
+                            Optional<ConfigRecord> held = view.get().findRecord(RECORD_KEY);
+                            boolean isHeld =
+                                    RecordContent.numberOf(held).orElse(0) >= newest.orElse(0);
+                            return isHeld
+                                    ? CompletableFuture.completedFuture(held)
+                                    : reader.readRecord(RECORD_KEY, timeoutMs);
+                        })
                 .thenApply(record -> record.map(TrafficPlanStore::readText));
     }
 
-    private static long versionOf(ConfigRecord record) {
-        return record.body().path(ControlState.NUMBER_FIELD).asLong();
-    }
-
     private static String textOf(ConfigRecord record) throws IOException {
         return RecordContent.decode(record.body().path(ControlState.CONTENT_FIELD));
     }
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/TrafficPlanStoreTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/TrafficPlanStoreTests.java
@@ -2,21 +2,24 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.control.ControlResult;
 import io.sapphirestack.core.control.ControlState;
 import io.sapphirestack.core.control.ControlView;
 import io.sapphirestack.core.control.FleetStatus;
+import io.sapphirestack.core.control.RecordContent;
+import io.sapphirestack.core.control.ValidatedCommand;
 import io.sapphirestack.core.record.ConfigRecord;
 import io.sapphirestack.core.relay.CallerAuthentication;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.TrafficPlan;
 import io.sapphirestack.runtime.control.ControlClient;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -36,8 +39,9 @@
         TrafficPlanStore store =
                 new TrafficPlanStore(
                         new ClientWithoutResult(),
+                        (key, timeoutMs) -> new CompletableFuture<>(),
                         (key, timeoutMs) ->
-                                CompletableFuture.completedFuture(Optional.of(stored())),
+                                CompletableFuture.completedFuture(OptionalLong.of(STORED_VERSION)),
                         () -> ControlView.EMPTY,
                         (text, origin) ->
                                 new TrafficPlan(
@@ -52,11 +56,66 @@
         assertThat(result.isDone()).isEqualTo(acknowledged);
     }
 
-    private static ConfigRecord stored() {
-        ObjectNode body = JsonNodeFactory.instance.objectNode();
-        body.put(ControlState.NUMBER_FIELD, STORED_VERSION);
-        body.put(ControlState.CONTENT_FIELD, "plan");
-        return new ConfigRecord(TrafficPlanStore.RECORD_KEY, 1, 1, 3, "c", "operator", body);
+    /**
+     * Guards against reads that move a whole plan between instances although the one that is asked
+     * holds it (review/6), and against a plan that is older than the newest one.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 0, 0, false",
+        "7, 7, 7, false",
+        "8, 7, 8, false",
+        "6, 7, 7, true",
+        "0, 7, 7, true"
+    })
+    void textIsReadFromAnotherInstanceOnlyIfItIsNewerThanTheHeldOne(
+            long held, long newest, long read, boolean isTransferred) throws Exception {
+        AtomicInteger transfers = new AtomicInteger();
+        TrafficPlanStore store =
+                new TrafficPlanStore(
+                        new ClientWithoutResult(),
+                        (key, timeoutMs) -> {
+                            transfers.incrementAndGet();
+                            return CompletableFuture.completedFuture(record(newest));
+                        },
+                        (key, timeoutMs) ->
+                                CompletableFuture.completedFuture(
+                                        RecordContent.numberOf(record(newest))),
+                        () -> viewOf(record(held)),
+                        (text, origin) -> {
+                            throw new IllegalStateException("nothing is decoded");
+                        });
+
+        Optional<String> text = store.readNewest(TIMEOUT_MS).get();
+
+        assertThat(text.orElse("plan 0")).isEqualTo("plan " + read);
+        assertThat(transfers.get() > 0).isEqualTo(isTransferred);
+    }
+
+    private static Optional<ConfigRecord> record(long number) {
+        if (number == 0) {
+            return Optional.empty();
+        }
+        ControlState state = new ControlState();
+        state.apply(
+                1,
+                0,
+                new ValidatedCommand(
+                        new ControlCommand.PutNewest(
+                                "operator",
+                                TrafficPlanStore.RECORD_KEY,
+                                number,
+                                RecordContent.encode("plan " + number)),
+                        Optional.empty()));
+        return state.view().findRecord(TrafficPlanStore.RECORD_KEY);
+    }
+
+    private static ControlView viewOf(Optional<ConfigRecord> record) {
+        return new ControlView(
+                1,
+                record.map(found -> Map.of(found.key(), found)).orElse(Map.of()),
+                Map.of(),
+                List.of());
     }
 
     /** Client whose submissions are still being written when the call ends. */
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
@@ -3,6 +3,8 @@
 import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.control.ControlState;
 import io.sapphirestack.core.control.FleetStatus;
+import io.sapphirestack.core.control.RecordContent;
+import io.sapphirestack.core.record.ConfigRecord;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.replication.DamagedLogException;
 import io.sapphirestack.core.replication.LogStore;
@@ -246,10 +248,7 @@
                         reply.complete(unconfirmed);
                     } else {
                         transport
-                                .call(
-                                        leader,
-                                        new ReadRecordRequest(request.key(), true),
-                                        FORWARD_TIMEOUT_MS)
+                                .call(leader, request.toForwarded(), FORWARD_TIMEOUT_MS)
                                 .exceptionally(failure -> unconfirmed)
                                 .thenAccept(reply::complete);
                     }
@@ -257,8 +256,11 @@
     }
 
     private ReadRecordRequest.ReadRecordReply read(ReadRecordRequest request, String leader) {
+        Optional<ConfigRecord> record = loop.core().state().view().findRecord(request.key());
         return new ReadRecordRequest.ReadRecordReply(
-                true, loop.core().state().view().findRecord(request.key()), leader);
+                true,
+                request.omitsContent() ? record.map(RecordContent::withoutContent) : record,
+                leader);
     }
 
     private CompletableFuture<FleetRequest.FleetReply> onFleet(FleetRequest request) {
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/DefaultControlClient.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/DefaultControlClient.java
@@ -3,16 +3,19 @@
 import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.control.ControlResult;
 import io.sapphirestack.core.control.FleetStatus;
+import io.sapphirestack.core.control.RecordContent;
 import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.record.ConfigRecord;
 import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.core.time.MillisClock;
+import io.sapphirestack.core.time.TransferTime;
 import io.sapphirestack.runtime.transport.PeerRequest;
 import io.sapphirestack.runtime.transport.PeerTransport;
 import io.sapphirestack.runtime.transport.TransportException;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -24,11 +27,11 @@
  * directory of voters learns the leader from this client and from the long polls of this instance.
  * Thread-safe.
  */
-public final class DefaultControlClient implements ControlClient, RecordReader {
+public final class DefaultControlClient implements ControlClient, RecordReader, RecordNumberReader {
 
     /**
-     * Timeout of one attempt at one voter. The voters replace an unreachable leader within about
-     * this time.
+     * Timeout of one attempt at one voter, without the transfer of a large command. The voters
+     * replace an unreachable leader within about this time.
      */
     private static final long ATTEMPT_TIMEOUT_MS = 600;
 
@@ -84,11 +87,22 @@
                         SubmitReply::result,
                         SubmitReply::leader,
                         SubmitReply::maybeApplied,
+                        ATTEMPT_TIMEOUT_MS + transferMs(command),
                         timeoutMs);
         call.attempt();
         return call.outcome;
     }
 
+    /**
+     * Returns how long a command may travel to the leader: it passes a link twice if the voter that
+     * is called has to forward it. A shorter attempt would send it again behind its own first copy.
+     */
+    private static long transferMs(ControlCommand command) {
+        return command instanceof ControlCommand.PutNewest put
+                ? 2 * TransferTime.maxMs(RecordContent.sizeBytes(put.body()))
+                : 0;
+    }
+
     @Override
     public CompletableFuture<FleetStatus> fleetStatus(long timeoutMs) {
         RetryingCall<FleetRequest.FleetReply, FleetStatus> call =
@@ -98,6 +112,7 @@
                         FleetRequest.FleetReply::status,
                         FleetRequest.FleetReply::leader,
                         reply -> false,
+                        ATTEMPT_TIMEOUT_MS,
                         timeoutMs);
         call.attempt();
         return call.outcome;
@@ -109,10 +124,30 @@
         RetryingCall<ReadRecordRequest.ReadRecordReply, Optional<ConfigRecord>> call =
                 new RetryingCall<>(
                         "read-record",
-                        attemptMs -> new ReadRecordRequest(key, false),
+                        attemptMs -> new ReadRecordRequest(key, false, false),
                         reply -> reply.confirmed() ? Optional.of(reply.record()) : Optional.empty(),
                         ReadRecordRequest.ReadRecordReply::leader,
                         reply -> false,
+                        ATTEMPT_TIMEOUT_MS,
+                        timeoutMs);
+        call.attempt();
+        return call.outcome;
+    }
+
+    @Override
+    public CompletableFuture<OptionalLong> readNumber(RecordKey key, long timeoutMs) {
+        Objects.requireNonNull(key, "key");
+        RetryingCall<ReadRecordRequest.ReadRecordReply, OptionalLong> call =
+                new RetryingCall<>(
+                        "read-number",
+                        attemptMs -> new ReadRecordRequest(key, false, true),
+                        reply ->
+                                reply.confirmed()
+                                        ? Optional.of(RecordContent.numberOf(reply.record()))
+                                        : Optional.empty(),
+                        ReadRecordRequest.ReadRecordReply::leader,
+                        reply -> false,
+                        ATTEMPT_TIMEOUT_MS,
                         timeoutMs);
         call.attempt();
         return call.outcome;
@@ -138,6 +173,7 @@
                         reply -> Optional.of(reply.accepted()),
                         reply -> "",
                         reply -> true,
+                        ATTEMPT_TIMEOUT_MS,
                         timeoutMs);
         call.attempt();
         return call.outcome;
@@ -151,6 +187,7 @@
         private final Function<R, Optional<T>> resultOf;
         private final Function<R, String> leaderOf;
         private final Function<R, Boolean> maybeAppliedOf;
+        private final long attemptTimeoutMs;
         private final long deadlineMs;
         private final CompletableFuture<T> outcome = new CompletableFuture<>();
         private volatile boolean maybeApplied;
@@ -161,12 +198,14 @@
                 Function<R, Optional<T>> resultOf,
                 Function<R, String> leaderOf,
                 Function<R, Boolean> maybeAppliedOf,
+                long attemptTimeoutMs,
                 long timeoutMs) {
             this.step = step;
             this.request = request;
             this.resultOf = resultOf;
             this.leaderOf = leaderOf;
             this.maybeAppliedOf = maybeAppliedOf;
+            this.attemptTimeoutMs = attemptTimeoutMs;
             this.deadlineMs = clock.nowMs() + timeoutMs;
         }
 
@@ -177,7 +216,7 @@
                 fail(address, null);
                 return;
             }
-            long attemptMs = Math.min(remainingMs, ATTEMPT_TIMEOUT_MS);
+            long attemptMs = Math.min(remainingMs, attemptTimeoutMs);
             transport
                     .call(address, request.apply(attemptMs), attemptMs)
                     .whenComplete((reply, failure) -> onReply(address, reply, failure));
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ReadRecordRequest.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ReadRecordRequest.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.runtime.control;
 
+import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.record.ConfigRecord;
 import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.runtime.transport.PeerMessage;
@@ -13,11 +14,18 @@
  *
  * @param key key of the record
  * @param forwarded whether another voter has forwarded the request; it is not forwarded again
+ * @param omitsContent whether the reply leaves out the content of a record written by {@link
+ *     ControlCommand.PutNewest}; {@code false} in requests of earlier releases
  */
 @PeerMessage(code = 8, reply = ReadRecordRequest.ReadRecordReply.class)
-public record ReadRecordRequest(RecordKey key, boolean forwarded)
+public record ReadRecordRequest(RecordKey key, boolean forwarded, boolean omitsContent)
         implements PeerRequest<ReadRecordRequest.ReadRecordReply> {
 
+    /** Returns this request as a voter forwards it to the leader. */
+    ReadRecordRequest toForwarded() {
+        return new ReadRecordRequest(key, true, omitsContent);
+    }
+
     /**
      * Reply to a {@link ReadRecordRequest}.
      *
