Large contents travel apart from the long polls, in parts, from a neighbour

Change: above 16 KiB a reply names the content only (size and hash). The instance fetches it in parts of 32 KiB: from the voter in its own process, one neighbour in its availability zone, the voters there, then the others. Parts that arrived are kept, a content that a newer one replaced is not fetched, and the next part waits as long as the last one took, so that at least half of a link is left to requests, probes and votes. Long polls go on meanwhile; the configuration lease is not renewed until the content is in force. Instances of earlier releases get whole replies.

Tests: ContentFetcherTests (each byte is sent once at any share of lost parts; pauses; damaged and superseded contents; simulated time), ControlWatcherTests. longPollsGoOnAndTheLeaseWaitsWhileAContentIsFetched, ControlServiceTests. contentOfAnySizeReachesEachInstance (1 B to 2 MB with real voters).

--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlDelta.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlDelta.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.UnaryOperator;
 
 /**
  * Difference between two revisions of the {@link ControlView}.
@@ -38,6 +39,23 @@
         events = List.copyOf(events);
     }
 
+    /**
+     * Returns a delta with other records.
+     *
+     * @param change replaces a changed record, under the same key
+     * @return delta between the same revisions
+     */
+    public ControlDelta mapRecords(UnaryOperator<ConfigRecord> change) {
+        return new ControlDelta(
+                fromRevision,
+                toRevision,
+                changed.stream().map(change).toList(),
+                deleted,
+                joined,
+                left,
+                events);
+    }
+
     /**
      * Applies this delta to a view.
      *
--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlView.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/ControlView.java
@@ -4,9 +4,11 @@
 import io.sapphirestack.core.id.InstanceRef;
 import io.sapphirestack.core.record.ConfigRecord;
 import io.sapphirestack.core.record.RecordKey;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 
 /**
  * Immutable view of the replicated state that is distributed to every instance. It does not contain
@@ -33,6 +35,18 @@
         events = List.copyOf(events);
     }
 
+    /**
+     * Returns a view with other records.
+     *
+     * @param change replaces a record, under the same key
+     * @return view of the same revision
+     */
+    public ControlView mapRecords(UnaryOperator<ConfigRecord> change) {
+        Map<RecordKey, ConfigRecord> changed = new HashMap<>(records);
+        changed.replaceAll((key, record) -> change.apply(record));
+        return new ControlView(revision, changed, instances, events);
+    }
+
     /**
      * Finds a record.
      *
--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/RecordContent.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/RecordContent.java
@@ -1,5 +1,6 @@
 package io.sapphirestack.core.control;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.BinaryNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -22,11 +23,107 @@
  */
 public final class RecordContent {
 
+    /**
+     * Size up to which a content travels with its record, in bytes. A larger one is detached: the
+     * record names its size and hash, and instances fetch it apart.
+     */
+    public static final int MAX_ATTACHED_BYTES = 16 * 1024;
+
     /** Maximum size of a text, in bytes of its UTF-8 form. */
     public static final int MAX_TEXT_BYTES = 64 * 1024 * 1024;
 
+    private static final String REFERENCE_FIELD = "contentReference";
+
     private RecordContent() {}
 
+    /**
+     * Names a content that travels apart from its record.
+     *
+     * @param sizeBytes size of the content as it is stored, in bytes
+     * @param hash XXH3 hash of these bytes
+     */
+    public record Reference(int sizeBytes, long hash) {
+
+        /**
+         * Returns the reference to a content.
+         *
+         * @param content bytes as they are stored
+         */
+        public static Reference to(byte[] content) {
+            return new Reference(content.length, Hashing.xxh3_64().hashBytesToLong(content));
+        }
+
+        /**
+         * Returns whether this reference names a content.
+         *
+         * @param content bytes as they were received
+         */
+        public boolean names(byte[] content) {
+            return content.length == sizeBytes && equals(to(content));
+        }
+    }
+
+    /**
+     * Replaces a content above {@link #MAX_ATTACHED_BYTES} by a reference to it.
+     *
+     * @param record any record
+     * @return the record with the reference, or the same record if its content is small
+     */
+    public static ConfigRecord detach(ConfigRecord record) {
+        Optional<byte[]> content = bytesOf(record).filter(c -> c.length > MAX_ATTACHED_BYTES);
+        if (content.isEmpty()) {
+            return record;
+        }
+        Reference reference = Reference.to(content.get());
+        ConfigRecord detached = withoutContent(record);
+        ((ObjectNode) detached.body())
+                .putObject(REFERENCE_FIELD)
+                .put("sizeBytes", reference.sizeBytes())
+                .put("hash", reference.hash());
+        return detached;
+    }
+
+    /**
+     * Returns the reference of a record whose content is detached.
+     *
+     * @param record any record
+     * @return reference, empty if the record is whole
+     */
+    public static Optional<Reference> referenceOf(ConfigRecord record) {
+        JsonNode reference = record.body().path(REFERENCE_FIELD);
+        return reference.isObject() && !record.body().has(ControlState.CONTENT_FIELD)
+                ? Optional.of(
+                        new Reference(
+                                reference.path("sizeBytes").asInt(),
+                                reference.path("hash").asLong()))
+                : Optional.empty();
+    }
+
+    /**
+     * Puts a content back into a record that was detached.
+     *
+     * @param record detached record
+     * @param content bytes that its reference names
+     * @return the record as it was
+     */
+    public static ConfigRecord attach(ConfigRecord record, byte[] content) {
+        ObjectNode body = (ObjectNode) withoutContent(record).body();
+        body.set(ControlState.CONTENT_FIELD, BinaryNode.valueOf(content));
+        return record.withBody(body);
+    }
+
+    /**
+     * Returns the compressed content of a record.
+     *
+     * @param record any record
+     * @return bytes, which must not be modified; empty if the record has no compressed content
+     */
+    public static Optional<byte[]> bytesOf(ConfigRecord record) {
+        return record.body().path(ControlState.CONTENT_FIELD) instanceof BinaryNode binary
+                ? Optional.of(binary.binaryValue())
+                : Optional.empty();
+    }
+
     /**
      * Encodes a text.
      *
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -27,6 +27,7 @@
 import io.sapphirestack.runtime.blackboard.Blackboard;
 import io.sapphirestack.runtime.concurrent.DaemonThreads;
 import io.sapphirestack.runtime.concurrent.WorkerPools;
+import io.sapphirestack.runtime.control.ContentServer;
 import io.sapphirestack.runtime.control.ControlService;
 import io.sapphirestack.runtime.control.ControlWatcher;
 import io.sapphirestack.runtime.control.DefaultControlClient;
@@ -175,6 +176,8 @@
                         clock);
         registerGauges();
         this.frontend = createFrontend();
+        new ContentServer(blackboard.control()::read, localVoter.service())
+                .register(listener.handlers());
         this.watcher = createWatcher();
         this.lifecycle =
                 new InstanceLifecycle(
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -30,6 +30,7 @@
 import io.sapphirestack.daemon.PlannedStopRecord;
 import io.sapphirestack.runtime.blackboard.Blackboard;
 import io.sapphirestack.runtime.concurrent.DaemonThreads;
+import io.sapphirestack.runtime.control.ContentServer;
 import io.sapphirestack.runtime.control.ControlService;
 import io.sapphirestack.runtime.control.ControlWatcher;
 import io.sapphirestack.runtime.control.DefaultControlClient;
@@ -193,6 +194,8 @@
                         messageMemory,
                         clock);
         registerGauges();
+        new ContentServer(blackboard.control()::read, localVoter.service())
+                .register(listener.handlers());
         this.watcher = createWatcher();
         this.lifecycle =
                 new RelayLifecycle(
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlService.java
@@ -5,6 +5,7 @@
 import io.sapphirestack.core.control.FleetStatus;
 import io.sapphirestack.core.control.RecordContent;
 import io.sapphirestack.core.record.ConfigRecord;
+import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.core.record.RecordSpecResolver;
 import io.sapphirestack.core.replication.DamagedLogException;
 import io.sapphirestack.core.replication.LogStore;
@@ -142,6 +143,16 @@
                                 List.copyOf(loop.core().node().membership().voters().values())));
     }
 
+    /**
+     * Returns a record as this voter has applied it, which may be older than the newest one.
+     *
+     * @param key key of the record
+     * @return future with the record, empty if there is none or the voter has stopped
+     */
+    CompletableFuture<Optional<ConfigRecord>> findApplied(RecordKey key) {
+        return readState(Optional.empty(), () -> loop.core().state().view().findRecord(key));
+    }
+
     private <T> CompletableFuture<T> readState(T whenStopped, Supplier<T> supplier) {
         return loop.call(whenStopped, reply -> reply.complete(supplier.get()));
     }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ControlWatcher.java
@@ -11,9 +11,14 @@
 import io.sapphirestack.runtime.blackboard.Blackboard;
 import io.sapphirestack.runtime.concurrent.DaemonThreads;
 import io.sapphirestack.runtime.transport.PeerTransport;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -55,6 +60,7 @@
     private final Supplier<InstanceStatus> statusSupplier;
     private final MillisClock clock;
     private final RandomGenerator random;
+    private final Random shuffling;
     private final ScheduledExecutorService executor;
     private volatile boolean stopped;
     private boolean leaving;
@@ -63,6 +69,7 @@
     private String joinId;
     private long joinedIndex;
     private Optional<InstanceRef> retainedFrom = Optional.empty();
+    private final PendingView pendingView;
 
     /**
      * Creates a watcher. {@link #start()} must be called to run it.
@@ -95,8 +102,13 @@
         this.statusSupplier = Objects.requireNonNull(statusSupplier, "statusSupplier");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.random = Objects.requireNonNull(random, "random");
+        this.shuffling = new Random(random.nextLong());
         this.voterPosition = Math.floorMod(info.ref().id().hashCode(), voters.addresses().size());
         this.executor = DaemonThreads.scheduler("control-watcher", 1);
+        this.pendingView =
+                new PendingView(
+                        new ContentFetcher(transport, this::contentHolders, this::schedule, clock),
+                        blackboard.control()::publish);
     }
 
     /** Joins the fleet and follows the control log until {@link #stop()}. */
@@ -187,7 +199,8 @@
         transport
                 .call(
                         address,
-                        new WatchRequest(sentStatus, revision, WATCH_WAIT_MS),
+                        new WatchRequest(
+                                sentStatus, revision, WATCH_WAIT_MS, pendingView.revision(), true),
                         WATCH_WAIT_MS + REPLY_MARGIN_MS)
                 .whenComplete(
                         (reply, failure) -> execute(() -> onWatchReply(sentMs, reply, failure)));
@@ -210,14 +223,17 @@
             return;
         }
         boolean isCurrent = publishView(reply);
-        if (!reply.confirmed() || !isCurrent) {
+        boolean isPending = pendingView.revision() == reply.revision();
+        if (!reply.confirmed() || !isCurrent && !isPending) {
             tryNextVoter();
             return;
         }
-        // The lease counts from the sending of the request, because the leadership was confirmed
-        // after that.
-        ConfigurationLease lease = new ConfigurationLease(sentMs + CONFIGURATION_LEASE_MS);
-        blackboard.configurationLease().update(previous -> previous.max(lease));
+        if (isCurrent) {
+            // The lease counts from the sending of the request, because the leadership was
+            // confirmed after that.
+            ConfigurationLease lease = new ConfigurationLease(sentMs + CONFIGURATION_LEASE_MS);
+            blackboard.configurationLease().update(previous -> previous.max(lease));
+        }
         voters.recordLeader(reply.leader());
         if (reply.evicted() && reply.revision() >= joinedIndex) {
             rejoin();
@@ -246,8 +262,8 @@
     }
 
     /**
-     * Publishes the view of the reply if it is newer. Returns whether the published view then has
-     * the revision of the reply.
+     * Publishes the view of the reply if it is newer, or fetches the contents that it lacks first.
+     * Returns whether the published view then has the revision of the reply.
      */
     private boolean publishView(WatchReply reply) {
         ControlView current = blackboard.control().read();
@@ -258,12 +274,37 @@
                 && reply.delta().get().fromRevision() == current.revision()) {
             next = reply.delta().get().applyTo(current);
         }
-        if (next.revision() > current.revision()) {
-            blackboard.control().publish(next);
+        if (next.revision() > Math.max(current.revision(), pendingView.revision())) {
+            pendingView.offer(next, current);
         }
         return blackboard.control().read().revision() == reply.revision();
     }
 
+    /**
+     * Returns the instances that may hold a content, in the order to ask them: the voter in this
+     * process, one neighbour in the own availability zone, the voters there, and the other voters.
+     */
+    private List<String> contentHolders() {
+        List<String> voterAddresses = new ArrayList<>(voters.addresses());
+        Collections.shuffle(voterAddresses, shuffling);
+        List<String> inZone = new ArrayList<>();
+        for (InstanceInfo other : blackboard.control().read().instances().values()) {
+            if (other.availabilityZone().equals(info.availabilityZone())
+                    && !other.ref().id().equals(info.ref().id())) {
+                inZone.add(other.peerAddress());
+            }
+        }
+        Collections.shuffle(inZone, shuffling);
+        Set<String> ordered = new LinkedHashSet<>();
+        if (voterAddresses.contains(info.peerAddress())) {
+            ordered.add(info.peerAddress());
+        }
+        inZone.stream().filter(a -> !voterAddresses.contains(a)).limit(1).forEach(ordered::add);
+        inZone.stream().filter(voterAddresses::contains).forEach(ordered::add);
+        ordered.addAll(voterAddresses);
+        return List.copyOf(ordered);
+    }
+
     private void rejoin() {
         Optional<InstanceRef> self = blackboard.self().read();
         LOG.infof(
@@ -288,8 +329,12 @@
     }
 
     private void schedule(Runnable task) {
+        schedule(task, RETRY_DELAY_MS);
+    }
+
+    private void schedule(Runnable task, long delayMs) {
         try {
-            executor.schedule(() -> runStep(task), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+            executor.schedule(() -> runStep(task), delayMs, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
             LOG.debug("task rejected: the watcher has stopped");
         }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/WatchTracker.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/WatchTracker.java
@@ -3,6 +3,7 @@
 import io.sapphirestack.core.control.ControlDelta;
 import io.sapphirestack.core.control.ControlState;
 import io.sapphirestack.core.control.ControlView;
+import io.sapphirestack.core.control.RecordContent;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -52,7 +53,7 @@
     }
 
     private boolean hasChange(Watch watch) {
-        return state.view().revision() > watch.request.appliedRevision()
+        return state.view().revision() > watch.request.knownRevision()
                 || !state.view().isLive(watch.request.status().ref());
     }
 
@@ -60,7 +61,7 @@
             Watch watch, String clusterId, String leader, boolean confirmed) {
         ControlView view = state.view();
         long appliedRevision = watch.request.appliedRevision();
-        if (view.revision() < appliedRevision) {
+        if (view.revision() < watch.request.knownRevision()) {
             // The instance has a newer view than this voter.
             return WatchReply.unconfirmed(clusterId);
         }
@@ -69,14 +70,24 @@
         boolean changed = view.revision() > appliedRevision;
         return new WatchReply(
                 clusterId,
-                changed && delta.isEmpty() ? Optional.of(view) : Optional.empty(),
-                changed ? delta : Optional.empty(),
+                changed && delta.isEmpty()
+                        ? Optional.of(watch.fetchesContent() ? detach(view) : view)
+                        : Optional.empty(),
+                changed ? delta.map(d -> watch.fetchesContent() ? detach(d) : d) : Optional.empty(),
                 view.revision(),
                 confirmed,
                 confirmed && !view.isLive(watch.request.status().ref()),
                 leader);
     }
 
+    private static ControlView detach(ControlView view) {
+        return view.mapRecords(RecordContent::detach);
+    }
+
+    private static ControlDelta detach(ControlDelta delta) {
+        return delta.mapRecords(RecordContent::detach);
+    }
+
     /** Long poll that waits for its reply. */
     static final class Watch {
         private final WatchRequest request;
@@ -104,6 +115,10 @@
             refused = true;
         }
 
+        private boolean fetchesContent() {
+            return request.fetchesContent();
+        }
+
         private boolean isConfirmedAt(long index) {
             return index >= confirmedIndex;
         }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
@@ -19,7 +19,7 @@
 abstract class PeerChannel implements PeerEventLoop.ChannelEventHandler {
 
     /** Size from which the end of a message is logged, in bytes. */
-    static final int LARGE_MESSAGE_BYTES = 16 * 1024;
+    static final int LARGE_MESSAGE_BYTES = 64 * 1024;
 
     private static final EventLog LOG = EventLog.of(PeerChannel.class);
 
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlServiceTests.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.BinaryNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sapphirestack.core.blackboard.BlackboardPart;
@@ -12,6 +13,7 @@
 import io.sapphirestack.core.control.FleetStatus;
 import io.sapphirestack.core.control.InstanceInfo;
 import io.sapphirestack.core.control.InstanceStatus;
+import io.sapphirestack.core.control.RecordContent;
 import io.sapphirestack.core.id.AccountId;
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
@@ -23,6 +25,7 @@
 import io.sapphirestack.core.time.MillisClock;
 import io.sapphirestack.runtime.blackboard.Blackboard;
 import io.sapphirestack.runtime.storage.DiskLogStore;
+import io.sapphirestack.runtime.transport.PeerHandlerRegistry;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,6 +41,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests voters, clients and watchers together: a submitted command must reach the blackboard of
@@ -178,7 +183,10 @@
 
         WatchReply reply =
                 peers.transport(isolated)
-                        .call(isolated, new WatchRequest(status("i9"), 0, 500), TIMEOUT_MS)
+                        .call(
+                                isolated,
+                                new WatchRequest(status("i9"), 0, 500, 0, false),
+                                TIMEOUT_MS)
                         .get();
         assertThat(reply.confirmed()).isFalse();
         ControlResult result = submit(putAccount("c2", "b", 0, 3));
@@ -293,17 +301,50 @@
         await(blackboards.get("i2").control(), view -> !view.isLive(ref));
     }
 
+    /**
+     * A large content travels apart from the long polls, which are the heartbeats, and is the same
+     * at each instance; small ones travel with them (review/6).
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 16 * 1024, 16 * 1024 + 1, 200_000, 2_000_000})
+    void contentOfAnySizeReachesEachInstance(int bytes) throws Exception {
+        startWatcher("i1");
+        startWatcher("i2");
+        byte[] content = new byte[bytes];
+        new Random(bytes).nextBytes(content);
+        RecordKey key = new RecordKey("traffic-plan", "current");
+        submit(new ControlCommand.PutNewest("operator", key, 7, BinaryNode.valueOf(content)));
+
+        for (String id : List.of("i1", "i2")) {
+            ControlView view =
+                    await(blackboards.get(id).control(), v -> v.findRecord(key).isPresent());
+            assertThat(view.findRecord(key).flatMap(RecordContent::bytesOf)).contains(content);
+        }
+        WatchReply reply =
+                peers.transport("i9")
+                        .call(VOTERS.get(0), new WatchRequest(status("i9"), 0, 100, 0, true), 5_000)
+                        .get();
+        boolean isDetached =
+                reply.view()
+                        .flatMap(v -> v.findRecord(key))
+                        .flatMap(RecordContent::referenceOf)
+                        .isPresent();
+        assertThat(isDetached).isEqualTo(bytes > RecordContent.MAX_ATTACHED_BYTES);
+    }
+
     private void startVoter(String address, String folderName) throws Exception {
+        PeerHandlerRegistry registry = peers.registry(address);
         ControlService service =
                 new ControlService(
                         ReplicationSettings.withDefaults(address, VOTERS),
                         () -> new DiskLogStore(folder.resolve(folderName)),
                         peers.transport(address),
-                        peers.registry(address),
+                        registry,
                         clock,
                         MillisClock.wall(),
                         new Random(address.hashCode()),
                         new RecordSpecResolver());
+        new ContentServer(() -> ControlView.EMPTY, Optional.of(service)).register(registry);
         service.start();
         services.put(address, service);
     }
@@ -340,7 +381,10 @@
         while (clock.nowMs() < deadlineMs) {
             WatchReply reply =
                     peers.transport("i9")
-                            .call(voter, new WatchRequest(status("i9"), 0, 100), TIMEOUT_MS)
+                            .call(
+                                    voter,
+                                    new WatchRequest(status("i9"), 0, 100, 0, false),
+                                    TIMEOUT_MS)
                             .get();
             if (reply.confirmed()) {
                 return reply.revision();
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlWatcherTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/ControlWatcherTests.java
@@ -2,23 +2,31 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.BinaryNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sapphirestack.core.blackboard.ConfigurationLease;
 import io.sapphirestack.core.blackboard.Readiness;
 import io.sapphirestack.core.control.ControlCommand;
 import io.sapphirestack.core.control.ControlDelta;
 import io.sapphirestack.core.control.ControlResult;
+import io.sapphirestack.core.control.ControlState;
 import io.sapphirestack.core.control.ControlView;
 import io.sapphirestack.core.control.FleetStatus;
 import io.sapphirestack.core.control.InstanceInfo;
 import io.sapphirestack.core.control.InstanceStatus;
+import io.sapphirestack.core.control.RecordContent;
 import io.sapphirestack.core.id.InstanceId;
 import io.sapphirestack.core.id.InstanceRef;
+import io.sapphirestack.core.record.ConfigRecord;
+import io.sapphirestack.core.record.RecordKey;
 import io.sapphirestack.runtime.blackboard.Blackboard;
 import io.sapphirestack.runtime.transport.PeerRequest;
 import io.sapphirestack.runtime.transport.PeerTransport;
 import io.sapphirestack.runtime.transport.TransportException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -48,6 +56,7 @@
     private final List<WatchRequest> requests = new ArrayList<>();
     private final List<ControlCommand.JoinInstance> joins = new ArrayList<>();
     private final CompletableFuture<Void> allRepliesSent = new CompletableFuture<>();
+    private final CompletableFuture<byte[]> contentToServe = new CompletableFuture<>();
     private ControlWatcher watcher;
     private Runnable joinFailure = () -> {};
     private Runnable callFailure = () -> {};
@@ -109,6 +118,59 @@
         assertThat(blackboard.control().read().revision()).isEqualTo(12);
     }
 
+    /**
+     * Guards against heartbeats that stop, and an instance that counts as up to date, while a large
+     * content is on its way: the long poll was at once the heartbeat and the transfer (review/6).
+     */
+    @Test
+    void longPollsGoOnAndTheLeaseWaitsWhileAContentIsFetched() throws Exception {
+        byte[] content = new byte[100_000];
+        new Random(1).nextBytes(content);
+        ConfigRecord whole = record(content);
+        ControlDelta told =
+                new ControlDelta(9, 10, List.of(whole), List.of(), List.of(), List.of(), List.of());
+
+        runScript(
+                List.of(
+                        reply("K", 9, true, false),
+                        reply(told.mapRecords(RecordContent::detach)),
+                        reply(delta(9, 10)),
+                        reply(delta(9, 10))));
+
+        assertThat(requests).hasSize(5);
+        assertThat(requests.subList(2, 5))
+                .allMatch(r -> r.appliedRevision() == 9 && r.noticedRevision() == 10);
+        assertThat(blackboard.control().read().revision()).isEqualTo(9);
+        assertThat(blackboard.configurationLease().read()).isEqualTo(new ConfigurationLease(4_000));
+
+        contentToServe.complete(content);
+        awaitRevision(10);
+        assertThat(blackboard.control().read().records().values()).containsExactly(whole);
+    }
+
+    private void awaitRevision(long revision) throws Exception {
+        CompletableFuture<Void> published = new CompletableFuture<>();
+        blackboard
+                .control()
+                .addListener(
+                        view -> {
+                            if (view.revision() >= revision) {
+                                published.complete(null);
+                            }
+                        });
+        if (blackboard.control().read().revision() < revision) {
+            published.get(20, TimeUnit.SECONDS);
+        }
+    }
+
+    private static ConfigRecord record(byte[] content) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put(ControlState.NUMBER_FIELD, 7);
+        body.set(ControlState.CONTENT_FIELD, BinaryNode.valueOf(content));
+        return new ConfigRecord(
+                new RecordKey("traffic-plan", "current"), 1, 1, 10, "c", "operator", body);
+    }
+
     @Test
     void failedLongPollIsRetried() throws Exception {
         runScript(List.of(Optional.empty(), reply("K", 9, true, false)));
@@ -241,6 +303,9 @@
         public <R> CompletableFuture<R> call(
                 String address, PeerRequest<R> request, long timeoutMs) {
             callFailure.run();
+            if (request instanceof FetchContentRequest wanted) {
+                return (CompletableFuture<R>) contentToServe.thenApply(c -> partOf(c, wanted));
+            }
             requests.add((WatchRequest) request);
             CompletableFuture<R> result = new CompletableFuture<>();
             Optional<WatchReply> next = replies.poll();
@@ -258,6 +323,11 @@
         }
     }
 
+    private static FetchContentRequest.Part partOf(byte[] content, FetchContentRequest wanted) {
+        int to = Math.min(content.length, wanted.offset() + FetchContentRequest.MAX_PART_BYTES);
+        return new FetchContentRequest.Part(true, Arrays.copyOfRange(content, wanted.offset(), to));
+    }
+
     /** Completes every join with log index 5. */
     private final class JoiningClient implements ControlClient {
 
