Entries of a service that is not named change nothing for sound endpoints

Cause: the latest process at an address took it over whatever service it announced. The same held by identifier, in the merge of reports on all ways, in tombstones, in the refusal of another service's announcement, and in the queues and handles for short reports.

Change: the registry knows the services that the configuration names; others take over no address and no identifier, whatever their fields say. They are kept, because the next configuration may name them.

The gauges of the relay get a class of their own.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/membership/ReportTable.java
@@ -9,8 +9,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * Endpoints known to one instance, merged from reports that may be delayed, duplicated or out of
@@ -20,6 +22,10 @@
  * detailsSequence), so merging is commutative, associative and idempotent. A removed endpoint
  * leaves a tombstone with its last (epoch, sequence) for {@link #TOMBSTONE_RETENTION_MS}, so that a
  * delayed report does not add it again. Not thread-safe.
+ *
+ * <p>A report of a service that is not named names no endpoint to use. It never replaces or hides a
+ * report of a named service with the same identifier, whatever its epoch and sequence are, and
+ * leaves no tombstone for it; a report of a named service replaces it.
  */
 public final class ReportTable {
     /**
@@ -52,7 +58,24 @@
         DETAILS_MISSING
     }
 
-    private record Tombstone(long epochMs, long sequence, long expiresAtMs) {}
+    private record Tombstone(String service, long epochMs, long sequence, long expiresAtMs) {}
+
+    private final Predicate<String> isNamedService;
+
+    /** Creates a table for which all services are named. */
+    public ReportTable() {
+        this(service -> true);
+    }
+
+    /**
+     * Creates a table.
+     *
+     * @param isNamedService returns whether the configuration names a service; the result may
+     *     change with the configuration
+     */
+    public ReportTable(Predicate<String> isNamedService) {
+        this.isNamedService = Objects.requireNonNull(isNamedService, "isNamedService");
+    }
 
     /**
      * Merges a report.
@@ -67,6 +90,12 @@
             return MergeResult.STALE;
         }
         MergedEndpointState old = known.get(report.id());
+        if (old != null && isForeignTo(old, report)) {
+            if (!isNamed(report)) {
+                return MergeResult.STALE;
+            }
+            old = null;
+        }
         if (old == null || report.epochMs() > old.epochMs()) {
             if (report.details().isEmpty()) {
                 return MergeResult.DETAILS_MISSING;
@@ -121,9 +150,21 @@
                         load.running(), load.queued(), details.slots(), load.tokensPerS());
     }
 
+    /** Returns whether a known endpoint or a report is of a service that is named, but not both. */
+    private boolean isForeignTo(MergedEndpointState known, EndpointReport report) {
+        return report.details().isPresent()
+                && isNamed(report) != isNamedService.test(known.details().service());
+    }
+
+    private boolean isNamed(EndpointReport report) {
+        return report.details().map(EndpointDetails::service).filter(isNamedService).isPresent();
+    }
+
     private boolean isCoveredByTombstone(EndpointReport report) {
         Tombstone tombstone = tombstones.get(report.id());
+        boolean mayBeForeign = report.details().isEmpty() || isNamed(report);
         return tombstone != null
+                && !(mayBeForeign && !isNamedService.test(tombstone.service()))
                 && (report.epochMs() < tombstone.epochMs()
                         || report.epochMs() == tombstone.epochMs()
                                 && report.sequence() <= tombstone.sequence());
@@ -159,7 +200,11 @@
             byHandle.remove(last.handle(), last);
             tombstones.put(
                     id,
-                    new Tombstone(last.epochMs(), last.sequence(), nowMs + TOMBSTONE_RETENTION_MS));
+                    new Tombstone(
+                            last.details().service(),
+                            last.epochMs(),
+                            last.sequence(),
+                            nowMs + TOMBSTONE_RETENTION_MS));
         }
         return expired;
     }
--- a/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/relay/TrafficPlan.java
@@ -126,6 +126,11 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Returns the names of all services. */
+    public Set<String> serviceNames() {
+        return services.keySet();
+    }
+
     /**
      * Finds a service.
      *
--- a/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointTable.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/routing/EndpointTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /** Immutable table of the known endpoints, indexed by service. */
@@ -17,15 +18,26 @@
     private final Map<String, List<EndpointState>> byService;
 
     /**
-     * Creates a table.
+     * Creates a table of endpoints whose services are all named.
      *
      * @param byId endpoints by identifier
      */
     public EndpointTable(Map<EndpointId, EndpointState> byId) {
+        this(byId, service -> true);
+    }
+
+    /**
+     * Creates a table.
+     *
+     * @param byId endpoints by identifier
+     * @param isNamedService returns whether the configuration names a service; what announces
+     *     another one takes over no address
+     */
+    public EndpointTable(Map<EndpointId, EndpointState> byId, Predicate<String> isNamedService) {
         this.byId = Map.copyOf(byId);
         Map<String, Long> latestByAddress = new HashMap<>();
-        this.byId
-                .values()
+        this.byId.values().stream()
+                .filter(endpoint -> isNamedService.test(endpoint.service()))
                 .forEach(
                         endpoint ->
                                 latestByAddress.merge(
@@ -34,7 +46,11 @@
                 this.byId.values().stream()
                         .filter(EndpointState::isServing)
                         // The latest process at an address has replaced earlier ones there.
-                        .filter(e -> e.epochMs() >= latestByAddress.get(e.address()))
+                        .filter(
+                                e ->
+                                        e.epochMs()
+                                                >= latestByAddress.getOrDefault(
+                                                        e.address(), Long.MIN_VALUE))
                         .sorted((a, b) -> a.id().compareTo(b.id()))
                         .collect(
                                 Collectors.groupingBy(
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/InstanceAssembly.java
@@ -140,7 +140,12 @@
         this.inFlight = new InFlightTracker(clock);
         PrefixIndex prefixes = new PrefixIndex();
         this.endpointRegistry =
-                new EndpointRegistry(blackboard.endpoints(), catalog::service, prefixes, clock);
+                new EndpointRegistry(
+                        blackboard.endpoints(),
+                        catalog::service,
+                        catalog::serviceNames,
+                        prefixes,
+                        clock);
         endpointRegistry.holdUntilFirstExchange(EndpointRegistry.MAX_HOLD_MS);
         this.routing = createRoutingStrategy(prefixes);
         this.dispatchGuard =
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/RecordCatalog.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/RecordCatalog.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -36,8 +37,12 @@
 
     private final Supplier<ControlView> view;
     private final RecordSpecResolver specs;
+    private volatile ServiceIndex serviceIndex = new ServiceIndex(ControlView.EMPTY, Set.of());
     private volatile AccountIndex accountIndex = new AccountIndex(ControlView.EMPTY, Map.of());
 
+    /** Names of the services of one view. */
+    private record ServiceIndex(ControlView view, Set<String> names) {}
+
     /** Accounts of one view by {@link AccountUsageTable#handleOf handle}. */
     private record AccountIndex(ControlView view, Map<Integer, AccountSpec> byHandle) {}
 
@@ -51,6 +56,22 @@
         return findSpec("service", name, specs::service);
     }
 
+    /** Returns the names of all services. */
+    Set<String> serviceNames() {
+        ControlView current = view.get();
+        ServiceIndex index = serviceIndex;
+        if (index.view() != current) {
+            index =
+                    new ServiceIndex(
+                            current,
+                            recordsOfKind("service")
+                                    .map(record -> record.key().name())
+                                    .collect(Collectors.toUnmodifiableSet()));
+            serviceIndex = index;
+        }
+        return index.names();
+    }
+
     /** Returns the account of an identifier, or empty if there is none. */
     Optional<AccountSpec> account(AccountId id) {
         return findSpec("account", id.value(), specs::account);
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -164,15 +164,10 @@
         this.messageMemory =
                 new ByteBudget(
                         settings.messages().memoryBytes(), settings.messages().accountFraction());
-        this.endpointRegistry =
-                new EndpointRegistry(
-                        blackboard.endpoints(), name -> Optional.empty(), new PrefixIndex(), clock);
-        if (!settings.isFirstStart()) {
-            endpointRegistry.holdUntilFirstExchange(EndpointRegistry.MAX_HOLD_MS);
-        }
         this.trafficPlans =
                 new TrafficPlanStore(
                         control, control, control, blackboard.control()::read, decoder);
+        this.endpointRegistry = createEndpointRegistry();
         this.rollouts =
                 new RolloutAssembly(
                         control,
@@ -210,6 +205,20 @@
                         clock);
     }
 
+    private EndpointRegistry createEndpointRegistry() {
+        EndpointRegistry registry =
+                new EndpointRegistry(
+                        blackboard.endpoints(),
+                        name -> Optional.empty(),
+                        trafficPlans::serviceNames,
+                        new PrefixIndex(),
+                        clock);
+        if (!settings.isFirstStart()) {
+            registry.holdUntilFirstExchange(EndpointRegistry.MAX_HOLD_MS);
+        }
+        return registry;
+    }
+
     private ControlService createControlService(Path dataFolder) {
         return new ControlService(
                 ReplicationSettings.withDefaults(
@@ -302,32 +311,15 @@
 
     private void registerGauges() {
         localVoter.registerGauge(metrics);
-        metrics.registerGauge(
-                "sapphire_traffic_plan_version",
-                "Version of the traffic plan in force, 0 for none.",
-                () -> trafficPlans.current().map(TrafficPlan::version).orElse(0L));
-        metrics.registerGauge(
-                "sapphire_endpoints_known",
-                "Endpoints that this instance knows.",
-                () -> blackboard.endpoints().read().byId().size());
         announcements.registerGauge(metrics);
         knowledge.registerGauges(metrics);
-        metrics.registerGauge(
-                "sapphire_caller_connections",
-                "Open connections of callers.",
-                callerListener::openConnections);
-        metrics.registerGauge(
-                "sapphire_message_memory_bytes",
-                "Memory of the requests and responses that this instance holds, in bytes.",
-                messageMemory::reservedBytes);
-        metrics.registerGauge(
-                "sapphire_failed_memory_reservations",
-                "Reservations of message memory that found none.",
-                messageMemory::failedReservations);
-        metrics.registerGauge(
-                "sapphire_peer_transferred_bytes",
-                "Bytes sent to and received from other instances.",
-                () -> listener.loop().transferredBytes());
+        new RelayGauges(
+                        trafficPlans,
+                        blackboard.endpoints(),
+                        callerListener,
+                        messageMemory,
+                        listener.loop())
+                .register(metrics);
     }
 
     private double requestsInFlightAt(EndpointState endpoint) {
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
@@ -17,6 +17,7 @@
 import java.io.UncheckedIOException;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
@@ -121,6 +122,11 @@
         return plan;
     }
 
+    /** Returns the names of the services of the plan that was decoded last; none without a plan. */
+    Set<String> serviceNames() {
+        return decoded.plan().map(TrafficPlan::serviceNames).orElse(Set.of());
+    }
+
     /**
      * Submits a plan. A plan whose version is not above that of the stored one is ignored. A read
      * runs beside the submission: an operator repeats a plan after a second without a response, and
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/EndpointRegistry.java
@@ -29,6 +29,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 
 /**
@@ -54,27 +55,37 @@
     private final MillisClock clock;
 
     private final Object lock = new Object();
-    private final ReportTable table = new ReportTable();
+    private final Supplier<Set<String>> namedServices;
+    private final ReportTable table;
     private Consumer<EndpointReport> reportListener = report -> {};
     private long maxHoldMs;
     private long heldUntilMs;
     private boolean changed;
 
+    /** Services that were named when the table was published last. */
+    private Set<String> publishedFor = Set.of();
+
     /**
      * Creates a registry.
      *
      * @param endpoints blackboard part that this registry publishes
      * @param services returns the spec of a service, or empty if it is unknown
+     * @param namedServices returns the names of the services that the configuration names now; an
+     *     entry of another service names no endpoint to use, and changes nothing for those that do.
+     *     Must be fast, thread-safe, and call nothing of this registry
      * @param prefixes prefix index that this registry updates
      * @param clock monotonic clock
      */
     public EndpointRegistry(
             BlackboardPart<EndpointTable> endpoints,
             Function<String, Optional<ServiceSpec>> services,
+            Supplier<Set<String>> namedServices,
             PrefixIndex prefixes,
             MillisClock clock) {
         this.endpoints = Objects.requireNonNull(endpoints, "endpoints");
         this.services = Objects.requireNonNull(services, "services");
+        this.namedServices = Objects.requireNonNull(namedServices, "namedServices");
+        this.table = new ReportTable(this::isNamed);
         this.prefixes = Objects.requireNonNull(prefixes, "prefixes");
         this.clock = Objects.requireNonNull(clock, "clock");
     }
@@ -237,14 +248,19 @@
                 List.of());
     }
 
+    private boolean isNamed(String service) {
+        return namedServices.get().contains(service);
+    }
+
     /**
      * Refuses an announcement under the name of an endpoint of another service whose last report is
-     * recent.
+     * recent, unless only the service of the announcement is named.
      */
     private void checkOwner(Optional<MergedEndpointState> known, EndpointAnnouncement announcement)
             throws RefusedException {
         if (known.isPresent()
                 && !known.get().details().service().equals(announcement.service())
+                && (isNamed(known.get().details().service()) || !isNamed(announcement.service()))
                 && clock.nowMs() - known.get().announcedAtMs() < ReportTable.SUSPECT_AFTER_MS) {
             throw refused(
                     400,
@@ -332,7 +348,8 @@
 
     /**
      * Encodes reports for another instance. Reports of endpoints with colliding handles are sent
-     * with details, because the handle does not identify them.
+     * with details, because the handle does not identify them; so are those of services that are
+     * not named, which may have copied identifier and epoch of an endpoint.
      *
      * @param reports reports to send
      * @return batch encoded by {@link ReportCodec}
@@ -346,7 +363,8 @@
                         report.isLoadOnly()
                                 && known != null
                                 && known.epochMs() == report.epochMs()
-                                && !table.hasUniqueHandle(known);
+                                && (!table.hasUniqueHandle(known)
+                                        || !isNamed(known.details().service()));
                 prepared.add(full ? known.toReport(clock.nowMs()) : report);
             }
         }
@@ -423,7 +441,8 @@
     }
 
     /**
-     * Removes endpoints whose last report is too old, and publishes the table if it has changed.
+     * Removes endpoints whose last report is too old, and publishes the table if it or the set of
+     * named services has changed.
      */
     public void tick() {
         List<EndpointId> expired;
@@ -442,10 +461,12 @@
 
     private void publishIfChanged() {
         synchronized (lock) {
-            if (!changed || clock.nowMs() < heldUntilMs) {
+            Set<String> named = namedServices.get();
+            if (!changed && named.equals(publishedFor) || clock.nowMs() < heldUntilMs) {
                 return;
             }
             changed = false;
+            publishedFor = named;
             Map<EndpointId, EndpointState> states = new HashMap<>();
             for (MergedEndpointState endpoint : table.endpoints()) {
                 EndpointDetails details = endpoint.details();
@@ -464,7 +485,7 @@
                                 details.version()));
             }
             // Published with the lock held, so that an older table never replaces a newer one.
-            endpoints.publish(new EndpointTable(states));
+            endpoints.publish(new EndpointTable(states, named::contains));
         }
     }
 }
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/PendingReports.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/endpoint/PendingReports.java
@@ -71,13 +71,17 @@
     /**
      * Combines two reports of one endpoint into one with the newer load, the newer details and the
      * cache events of both. Of two processes of an endpoint, only the report of the newer process
-     * is kept.
+     * is kept. The added one alone is kept if it has replaced the endpoint in the table, which
+     * accepts older details only then.
      *
      * @param queued report that is already queued
      * @param added report to add
      * @return combined report
      */
     static EndpointReport combine(EndpointReport queued, EndpointReport added) {
+        if (hasReplaced(queued, added)) {
+            return added;
+        }
         if (queued.epochMs() != added.epochMs()) {
             return queued.epochMs() > added.epochMs() ? queued : added;
         }
@@ -98,6 +102,18 @@
                 events);
     }
 
+    private static boolean hasReplaced(EndpointReport queued, EndpointReport added) {
+        if (added.details().isEmpty()) {
+            return false;
+        }
+        return queued.details()
+                .map(details -> !details.service().equals(added.details().get().service()))
+                .orElse(
+                        added.epochMs() < queued.epochMs()
+                                || added.epochMs() == queued.epochMs()
+                                        && added.detailsSequence() < queued.detailsSequence());
+    }
+
     private static EndpointReport newerDetails(EndpointReport newer, EndpointReport older) {
         if (newer.details().isEmpty()) {
             return older.details().isEmpty() ? null : older;
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/AbstractDisseminationTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/AbstractDisseminationTests.java
@@ -37,6 +37,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -69,6 +70,9 @@
     /** Maximum number of endpoints for which the members disseminate requests in flight. */
     int maxInFlightEndpoints = InFlightAggregator.MAX_ENDPOINTS;
 
+    /** Services that the configuration names, at all members. */
+    Set<String> namedServices = Set.of("scribe");
+
     /** Percentage of calls that fail. */
     int failurePercent;
 
@@ -105,6 +109,7 @@
                     new EndpointRegistry(
                             table,
                             s -> s.equals("scribe") ? Optional.of(SERVICE) : Optional.empty(),
+                            () -> namedServices,
                             prefixes,
                             () -> nowMs);
             dissemination =
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/CapacitySlopes.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/endpoint/CapacitySlopes.java
@@ -114,6 +114,7 @@
                     new EndpointRegistry(
                             new BlackboardPart<>(EndpointTable.EMPTY),
                             s -> Optional.of(SERVICE),
+                            () -> Set.of("scribe"),
                             prefixes,
                             () -> nowMs);
             dissemination =
@@ -281,7 +282,12 @@
         BlackboardPart<EndpointTable> table = new BlackboardPart<>(EndpointTable.EMPTY);
         PrefixIndex index = new PrefixIndex();
         EndpointRegistry registry =
-                new EndpointRegistry(table, s -> Optional.of(SERVICE), index, () -> nowMs);
+                new EndpointRegistry(
+                        table,
+                        s -> Optional.of(SERVICE),
+                        () -> Set.of("scribe"),
+                        index,
+                        () -> nowMs);
         PrefixHashes[] prompts = new PrefixHashes[50];
         for (int i = 0; i < prompts.length; i++) {
             prompts[i] =
