Requests go on with the plan before while a later one is decoded

A request that met a new record decoded it, and all others waited for it: tenths of a second at 0.36 cores, at each change and each instance at the same moment. Now a thread of its own decodes each plan but the first, as soon as the view is published; only the newest of several that came meanwhile is decoded.

Test: TrafficPlanStoreTests.requestsDoNotWaitForTheDecodingOfALaterPlan; before, current() decoded "plan 2" in the caller.

--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/CallerAddresses.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/CallerAddresses.java
@@ -1,6 +1,8 @@
 package io.sapphirestack.daemon.relay;
 
+import io.sapphirestack.core.control.ControlView;
 import io.sapphirestack.core.control.InstanceInfo;
+import io.sapphirestack.daemon.PlannedStopRecord;
 import java.util.List;
 
 /** Selects the addresses of the instances that a caller should connect to. */
@@ -17,6 +19,15 @@
 
     private CallerAddresses() {}
 
+    /** Chooses among the instances of a view, without those for which a stop is planned. */
+    static List<String> ofView(ControlView view, String availabilityZone) {
+        return choose(
+                view.instances().values().stream()
+                        .filter(info -> PlannedStopRecord.find(view, info.ref()).isEmpty())
+                        .toList(),
+                availabilityZone);
+    }
+
     static List<String> choose(List<InstanceInfo> instances, String availabilityZone) {
         List<String> sameZone =
                 instances.stream()
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/RelayAssembly.java
@@ -1,7 +1,6 @@
 package io.sapphirestack.daemon.relay;
 
 import io.sapphirestack.core.blackboard.Readiness;
-import io.sapphirestack.core.control.ControlView;
 import io.sapphirestack.core.control.InstanceInfo;
 import io.sapphirestack.core.control.InstanceStatus;
 import io.sapphirestack.core.id.InstanceId;
@@ -59,6 +58,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadLocalRandom;
@@ -95,6 +96,8 @@
     private final Metrics metrics = new Metrics();
     private final SecureRandom random = new SecureRandom();
     private final ScheduledThreadPoolExecutor scheduler;
+    private final ExecutorService planDecoder =
+            Executors.newSingleThreadExecutor(DaemonThreads.namedFactory("plan-decoder"));
     private final PeerTransport transport;
     private final VoterDirectory voters;
     private final VoterDiscovery voterDiscovery;
@@ -164,9 +167,7 @@
         this.messageMemory =
                 new ByteBudget(
                         settings.messages().memoryBytes(), settings.messages().accountFraction());
-        this.trafficPlans =
-                new TrafficPlanStore(
-                        control, control, control, blackboard.control()::read, decoder);
+        this.trafficPlans = createTrafficPlans(decoder);
         this.endpointRegistry = createEndpointRegistry();
         this.rollouts =
                 new RolloutAssembly(
@@ -205,6 +206,19 @@
                         clock);
     }
 
+    private TrafficPlanStore createTrafficPlans(TrafficPlanStore.Decoder decoder) {
+        TrafficPlanStore store =
+                new TrafficPlanStore(
+                        control,
+                        control,
+                        control,
+                        blackboard.control()::read,
+                        decoder,
+                        planDecoder);
+        blackboard.control().addListener(view -> store.refresh());
+        return store;
+    }
+
     private EndpointRegistry createEndpointRegistry() {
         EndpointRegistry registry =
                 new EndpointRegistry(
@@ -457,12 +471,7 @@
      * @return addresses as {@code host:port}, at most 64, possibly none
      */
     public List<String> addresses(String availabilityZone) {
-        ControlView view = blackboard.control().read();
-        return CallerAddresses.choose(
-                view.instances().values().stream()
-                        .filter(info -> PlannedStopRecord.find(view, info.ref()).isEmpty())
-                        .toList(),
-                availabilityZone);
+        return CallerAddresses.ofView(blackboard.control().read(), availabilityZone);
     }
 
     @Override
@@ -483,6 +492,7 @@
         watcher.stop();
         localVoter.stop(VOTER_STOP_TIMEOUT_MS);
         listener.close();
+        planDecoder.shutdownNow();
         scheduler.shutdownNow();
     }
 }
--- a/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
+++ b/sapphire-daemon/src/main/java/io/sapphirestack/daemon/relay/TrafficPlanStore.java
@@ -19,6 +19,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
 /**
@@ -37,6 +39,8 @@
     private final RecordNumberReader numbers;
     private final Supplier<ControlView> view;
     private final Decoder decoder;
+    private final Executor decoderThread;
+    private final AtomicBoolean decodeQueued = new AtomicBoolean();
     private volatile Decoded decoded = new Decoded(0, Optional.empty());
 
     /** Where the text of a traffic plan comes from. */
@@ -74,37 +78,59 @@
      * @param numbers reads the version of the stored plan
      * @param view returns the control state that this instance has applied
      * @param decoder parses the text of plans
+     * @param decoderThread runs the decoding of each plan but the first one; one task at a time
      */
     public TrafficPlanStore(
             ControlClient control,
             RecordReader reader,
             RecordNumberReader numbers,
             Supplier<ControlView> view,
-            Decoder decoder) {
+            Decoder decoder,
+            Executor decoderThread) {
         this.control = Objects.requireNonNull(control, "control");
         this.reader = Objects.requireNonNull(reader, "reader");
         this.numbers = Objects.requireNonNull(numbers, "numbers");
         this.view = Objects.requireNonNull(view, "view");
         this.decoder = Objects.requireNonNull(decoder, "decoder");
+        this.decoderThread = Objects.requireNonNull(decoderThread, "decoderThread");
     }
 
     /**
-     * Returns the newest valid plan that this instance knows, empty if there is none yet. Later
-     * calls never return an older plan.
+     * Returns the newest valid plan that this instance has decoded, empty if there is none yet.
+     * Later calls never return an older plan. Only the first plan is decoded by the caller: a large
+     * one takes tenths of a second, in which requests go on with the plan before.
      */
     public Optional<TrafficPlan> current() {
-        Optional<ConfigRecord> record = view.get().findRecord(RECORD_KEY);
-        Decoded last = decoded;
-        if (record.isEmpty() || record.get().revision() <= last.revision()) {
-            return last.plan();
+        if (decoded.plan().isEmpty()) {
+            decodeNewest();
+        } else {
+            refresh();
         }
-        return decode(record.get());
+        return decoded.plan();
     }
 
-    private synchronized Optional<TrafficPlan> decode(ConfigRecord record) {
-        if (record.revision() <= decoded.revision()) {
-            return decoded.plan();
+    /** Decodes the newest plan in the background, if it is not decoded yet. */
+    public void refresh() {
+        if (newerRecord().isPresent() && decodeQueued.compareAndSet(false, true)) {
+            decoderThread.execute(
+                    () -> {
+                        decodeQueued.set(false);
+                        decodeNewest();
+                    });
         }
+    }
+
+    private Optional<ConfigRecord> newerRecord() {
+        return view.get()
+                .findRecord(RECORD_KEY)
+                .filter(record -> record.revision() > decoded.revision());
+    }
+
+    private synchronized void decodeNewest() {
+        newerRecord().ifPresent(this::decode);
+    }
+
+    private void decode(ConfigRecord record) {
         Optional<TrafficPlan> plan = decoded.plan();
         try {
             plan = Optional.of(decoder.decode(textOf(record), Origin.STORED));
@@ -119,7 +145,6 @@
             LOG.error("SAP1921", e, "A stored traffic plan is invalid and is ignored");
         }
         decoded = new Decoded(record.revision(), plan);
-        return plan;
     }
 
     /** Returns the names of the services of the plan that was decoded last; none without a plan. */
--- a/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/TrafficPlanStoreTests.java
+++ b/sapphire-daemon/src/test/java/io/sapphirestack/daemon/relay/TrafficPlanStoreTests.java
@@ -13,13 +13,19 @@
 import io.sapphirestack.core.relay.CallerAuthentication;
 import io.sapphirestack.core.relay.CallerLimits;
 import io.sapphirestack.core.relay.TrafficPlan;
+import io.sapphirestack.core.relay.TrafficPlanException;
 import io.sapphirestack.runtime.control.ControlClient;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -43,13 +49,8 @@
                         (key, timeoutMs) ->
                                 CompletableFuture.completedFuture(OptionalLong.of(STORED_VERSION)),
                         () -> ControlView.EMPTY,
-                        (text, origin) ->
-                                new TrafficPlan(
-                                        Long.parseLong(text),
-                                        List.of(),
-                                        List.of(),
-                                        CallerAuthentication.none(),
-                                        CallerLimits.DEFAULT));
+                        (text, origin) -> plan(Long.parseLong(text)),
+                        Runnable::run);
 
         CompletableFuture<Void> result = store.submit(Long.toString(version), TIMEOUT_MS);
 
@@ -84,7 +85,8 @@
                         () -> viewOf(record(held)),
                         (text, origin) -> {
                             throw new IllegalStateException("nothing is decoded");
-                        });
+                        },
+                        Runnable::run);
 
         Optional<String> text = store.readNewest(TIMEOUT_MS).get();
 
@@ -92,13 +94,57 @@
         assertThat(transfers.get() > 0).isEqualTo(isTransferred);
     }
 
+    /**
+     * Guards against requests that wait for the decoding of a large plan: they go on with the plan
+     * before, and the newest one is in force once it is decoded, even if others came meanwhile.
+     */
+    @Test
+    void requestsDoNotWaitForTheDecodingOfALaterPlan() {
+        AtomicReference<ControlView> view = new AtomicReference<>(viewOf(record(1, 1)));
+        Deque<Runnable> queued = new ArrayDeque<>();
+        List<String> decodedTexts = new ArrayList<>();
+        TrafficPlanStore store =
+                new TrafficPlanStore(
+                        new ClientWithoutResult(),
+                        (key, timeoutMs) -> new CompletableFuture<>(),
+                        (key, timeoutMs) -> new CompletableFuture<>(),
+                        view::get,
+                        (text, origin) -> {
+                            decodedTexts.add(text);
+                            return plan(Long.parseLong(text.substring("plan ".length())));
+                        },
+                        queued::add);
+        assertThat(store.current().map(TrafficPlan::version)).contains(1L);
+
+        for (long number = 2; number <= 4; number++) {
+            view.set(viewOf(record(number, number)));
+            store.refresh();
+            assertThat(store.current().map(TrafficPlan::version)).contains(1L);
+        }
+        assertThat(queued).hasSize(1);
+        queued.remove().run();
+
+        assertThat(store.current().map(TrafficPlan::version)).contains(4L);
+        assertThat(queued).isEmpty();
+        assertThat(decodedTexts).containsExactly("plan 1", "plan 4");
+    }
+
+    private static TrafficPlan plan(long version) throws TrafficPlanException {
+        return new TrafficPlan(
+                version, List.of(), List.of(), CallerAuthentication.none(), CallerLimits.DEFAULT);
+    }
+
     private static Optional<ConfigRecord> record(long number) {
+        return record(number, 1);
+    }
+
+    private static Optional<ConfigRecord> record(long number, long revision) {
         if (number == 0) {
             return Optional.empty();
         }
         ControlState state = new ControlState();
         state.apply(
-                1,
+                revision,
                 0,
                 new ValidatedCommand(
                         new ControlCommand.PutNewest(
