A connection that is busy with a large message stays open

A full socket that takes more bytes is progress too: the peer has acknowledged some. A connection whose peer is gone makes neither and is still closed.

--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/OutboundChannel.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/OutboundChannel.java
@@ -45,7 +45,7 @@
         private final OutgoingFrame frame;
         private final Class<R> replyType;
         private final CompletableFuture<R> result;
-        private long readCountWhenQueued;
+        private long progressWhenQueued;
 
         PendingCall(
                 long requestId,
@@ -108,7 +108,7 @@
     }
 
     private void queue(PendingCall<?> call) {
-        call.readCountWhenQueued = readCount();
+        call.progressWhenQueued = progressCount();
         send(call.frame);
     }
 
@@ -118,9 +118,10 @@
         }
         boolean maybeSent = !queuedUntilAuthenticated.remove(call) && !removeUnsent(call.frame);
         fail(call, "await-reply", "no reply within " + timeoutMs + " ms", maybeSent, null);
-        // A connection can stay open without passing data. If no byte was received since the
-        // request was queued, the connection is closed and the next call opens a new one.
-        if (authenticated && readCount() == call.readCountWhenQueued) {
+        // A connection can stay open without passing data. If none passed since the request was
+        // queued, the connection is closed and the next call opens a new one. One that is busy with
+        // a large message on a slow link stays open.
+        if (authenticated && progressCount() == call.progressWhenQueued) {
             LOG.warn("SAP1102", "Closing a peer connection that received no data", "peer", peer());
             onFailure(
                     new IOException("received no data on the connection for " + timeoutMs + " ms"));
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/transport/PeerChannel.java
@@ -31,7 +31,7 @@
     private SelectionKey key;
     private long outgoingBytes;
     private long lastReceivedMs;
-    private long readCount;
+    private long progressCount;
     private boolean readPaused;
     private boolean closed;
 
@@ -92,9 +92,13 @@
         return lastReceivedMs;
     }
 
-    /** Returns the number of reads that returned data. */
-    final long readCount() {
-        return readCount;
+    /**
+     * Returns a number that grows whenever the peer was seen to be there: with each read that
+     * returned data, and each time that a full socket took more, because the peer had acknowledged
+     * some of it.
+     */
+    final long progressCount() {
+        return progressCount;
     }
 
     final long outgoingBytes() {
@@ -141,6 +145,7 @@
             read();
         }
         if (selected.isValid() && selected.isWritable()) {
+            progressCount++;
             flush();
         }
     }
@@ -153,7 +158,7 @@
         }
         loop.countBytes(count);
         lastReceivedMs = loop.nowMs();
-        readCount++;
+        progressCount++;
         buffer.flip();
         try {
             Optional<byte[]> frame = decoder.next(buffer);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/transport/TcpPeerTransportTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/transport/TcpPeerTransportTests.java
@@ -5,6 +5,7 @@
 
 import java.io.DataInputStream;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Arrays;
@@ -14,6 +15,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -30,6 +32,8 @@
 
     private static final String CLUSTER_KEY = "cluster key of the test";
     private static final long TEST_TIMEOUT_MS = 60_000;
+    private static final int SLOW_READ_BYTES = 64 * 1024;
+    private static final long SLOW_READ_INTERVAL_NANOS = 20_000_000;
 
     record EchoReply(String text) {}
 
@@ -339,6 +343,45 @@
         }
     }
 
+    /**
+     * Guards against closing a connection in the middle of a large message because a small one
+     * behind it got no reply in time: the large one was then sent again from its start (review/6).
+     */
+    @Test
+    void connectionThatIsBusyWithALargeMessageStaysOpen() throws Exception {
+        PeerHandshake handshake = new PeerHandshake(CLUSTER_KEY);
+        byte[] serverNonce = new byte[32];
+        try (ServerSocket listener = new ServerSocket()) {
+            listener.setReceiveBufferSize(SLOW_READ_BYTES);
+            listener.bind(new InetSocketAddress("127.0.0.1", 0));
+            String address = "127.0.0.1:" + listener.getLocalPort();
+            CompletableFuture<Socket> accepted =
+                    CompletableFuture.supplyAsync(
+                            () ->
+                                    acceptHandshake(
+                                            listener,
+                                            handshake,
+                                            nonce -> handshake.serverProof(serverNonce, nonce)));
+            CompletableFuture<EchoReply> large =
+                    transport.call(
+                            address, new EchoRequest("x".repeat(7_000_000)), TEST_TIMEOUT_MS);
+            CompletableFuture<EchoReply> small =
+                    transport.call(address, new EchoRequest("1"), 1_000);
+            try (Socket socket = accepted.get(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+                int received = 0;
+                while (!small.isDone()) {
+                    received += socket.getInputStream().readNBytes(SLOW_READ_BYTES).length;
+                    LockSupport.parkNanos(SLOW_READ_INTERVAL_NANOS);
+                }
+                assertThat(failureOf(small).step()).isEqualTo("await-reply");
+                assertThat(received).isLessThan(7_000_000);
+                int rest = 7_000_000 - received;
+                assertThat(socket.getInputStream().readNBytes(rest)).hasSize(rest);
+                assertThat(large).isNotDone();
+            }
+        }
+    }
+
     @Test
     void callIsNotSentIfTheConnectIsRefused() throws Exception {
         int port;
