Contents: the size that a reference names is bounded

The size comes from another instance and memory is reserved for it. Also a step less after a damaged content, and the scheduler is a functional interface.

--- a/sapphire-core/src/main/java/io/sapphirestack/core/control/RecordContent.java
+++ b/sapphire-core/src/main/java/io/sapphirestack/core/control/RecordContent.java
@@ -44,6 +44,13 @@
      */
     public record Reference(int sizeBytes, long hash) {
 
+        /** Checks the size, from which memory is reserved for the content. */
+        public Reference {
+            if (sizeBytes < 0 || sizeBytes > MAX_TEXT_BYTES) {
+                throw new IllegalArgumentException("size of a content out of range: " + sizeBytes);
+            }
+        }
+
         /**
          * Returns the reference to a content.
          *
--- a/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ContentFetcher.java
+++ b/sapphire-runtime/src/main/java/io/sapphirestack/runtime/control/ContentFetcher.java
@@ -7,7 +7,6 @@
 import io.sapphirestack.runtime.metrics.EventLog;
 import io.sapphirestack.runtime.transport.PeerTransport;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -42,6 +41,7 @@
     private Optional<Transfer> current = Optional.empty();
 
     /** Runs tasks on the thread of the fetcher. */
+    @FunctionalInterface
     interface Scheduler {
 
         /**
@@ -173,7 +173,6 @@
         private void complete() {
             if (!wanted.names(content)) {
                 LOG.warn("SAP1016", "A content that was fetched is damaged", "record", key);
-                Arrays.fill(content, (byte) 0);
                 receivedBytes = 0;
                 addresses.poll();
                 scheduler.schedule(this::requestPart, RETRY_DELAY_MS);
