--- a/sapphire-core/src/test/java/io/sapphirestack/core/control/RecordContentTests.java
+++ b/sapphire-core/src/test/java/io/sapphirestack/core/control/RecordContentTests.java
@@ -44,9 +44,9 @@
         StringBuilder text = new StringBuilder();
         for (int i = 0; i < 1_400; i++) {
             text.append("{\"name\":\"r-").append(Integer.toString(i * 7_919, 36));
-            text.append("\",\"hostname\":\"ficu95.example\",\"path_prefix\":\"/")
+            text.append("\",\"host\":\"shop.example\",\"prefix\":\"/")
                     .append(Integer.toString(i * 104_729, 36));
-            text.append("/\",\"route_type\":\"idempotent\",\"timeout_ms\":25000},");
+            text.append("/\",\"kind\":\"idempotent\",\"timeoutMs\":25000},");
         }
         assertThat(RecordContent.sizeBytes(RecordContent.encode(text.toString())))
                 .isLessThan(text.length() / 10);
--- a/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/VoterRestartTests.java
+++ b/sapphire-runtime/src/test/java/io/sapphirestack/runtime/control/VoterRestartTests.java
@@ -132,7 +132,7 @@
     @ValueSource(booleans = {false, true})
     void textIsReadBackUnchangedAfterARestart(boolean isCompressed) throws Exception {
         RecordKey key = new RecordKey("traffic-plan", "current");
-        String text = "{\"tenants\":[],\"name\":\"k\u025bse\",\"other\":null}".repeat(10_000);
+        String text = "{\"list\":[],\"name\":\"k\u025bse\",\"other\":null}".repeat(10_000);
         for (String address : VOTERS) {
             startVoter(address, Fault.NONE);
         }
